Add the design page, workspace skeleton and package interfaces

Ruled out: one large library (heavy headers would be compiled everywhere), and interfaces that expose Asio or RESTinio types. Change: docs/design.md, CMake workspace with one library per package, Mozilla format and lint rules, base (errors, digests, key=value log), eventloop, and the public headers of configuration, records, platform, upstream, httpd and peering.

--- /dev/null
+++ b/packages/httpd/include/boragegauge/httpd.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "boragegauge/upstream.h"
+
+namespace bg {
+
+/// A complete request of a caller.
+struct HttpRequest
+{
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::shared_ptr<const std::string> body;
+  std::string remoteAddress;
+};
+
+struct HttpResponse
+{
+  int status = 200;
+  std::vector<HttpHeader> headers; ///< Content-Length is added by the server.
+  std::string body;
+};
+
+/// Answers one request, once; later calls are ignored. Loop thread only.
+class HttpReply
+{
+public:
+  virtual ~HttpReply() = default;
+  virtual void Send(HttpResponse aResponse) = 0;
+  /// Closes the connection without a response.
+  virtual void Abort() = 0;
+  /// Called when the caller's connection closes before Send().
+  virtual void OnCallerGone(std::function<void()> aCallback) = 0;
+};
+
+struct HttpServerStats
+{
+  uint64_t connections = 0; ///< Open now.
+  uint64_t requests = 0;    ///< Complete requests since the start.
+  uint64_t inFlight = 0;    ///< Requests without a response yet.
+  uint64_t rejected = 0;    ///< Malformed or over a limit.
+};
+
+struct HttpServerInit
+{
+  EventLoop* loop = nullptr;
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;      ///< 0: chosen by the system.
+  bool reusePort = false; ///< Several servers, one per traffic thread, share the port.
+  size_t maxBodyBytes = 1UL << 20;
+  Duration idleTimeout = std::chrono::seconds(60);
+  std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> handler;
+};
+
+/// HTTP/1.1 server. Refuses requests with several or no Host headers, folded header lines,
+/// absolute-form targets and headers over the limits of config.h with a 4xx and a log line.
+class HttpServer
+{
+public:
+  virtual ~HttpServer() = default;
+  virtual uint16_t Port() const = 0;
+  /// Closes the listening socket and idle connections; requests in flight are finished, their
+  /// responses carry "Connection: close".
+  virtual void StopAccepting() = 0;
+  virtual HttpServerStats Stats() const = 0;
+};
+
+/// Fails with Unavailable when the address cannot be bound.
+Result<std::unique_ptr<HttpServer>> CreateHttpServer(HttpServerInit aInit);
+
+} // namespace bg
