Add the records package

Cause: every component needs a bounded memory of its decisions that can be uploaded and explained. Ruled out: aggregating all kinds of records, because each ejection or avoidance must stay visible with its own evidence; only refusals repeat at request rate. Change: JSON codec, ring with aggregation of repeated refusals per interval, batches that can be returned after a failed upload, Describe(). An open refusal is not uploaded before its interval ends, so that its count is final.

--- a/packages/records/include/boragegauge/records.h
+++ b/packages/records/include/boragegauge/records.h
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "boragegauge/base.h"
@@ -104,10 +105,15 @@
   const RecordRingStats& Stats() const { return stats_; }
 
 private:
+  bool IsOpen(const DecisionRecord& aRecord, int64_t aNowMs) const;
+  bool AddRepeat(const DecisionRecord& aRecord, int64_t aNowMs);
+  void LimitPending();
+
   RecordRingInit init_;
   RecordRingStats stats_;
   std::deque<DecisionRecord> records_;
   std::deque<DecisionRecord> pending_;
+  std::unordered_map<std::string, uint64_t> open_; ///< Sequence of the refusal that is counted up.
   uint64_t sequence_ = 0;
 };
 
--- /dev/null
+++ b/packages/records/src/record_codec.cpp
@@ -0,0 +1,209 @@
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cmath>
+#include <limits>
+
+#include "boragegauge/records.h"
+
+namespace bg {
+
+namespace {
+
+using Json = nlohmann::json;
+
+struct KindText
+{
+  std::string_view name;     ///< In JSON.
+  std::string_view sentence; ///< "{}" is the subject.
+};
+
+constexpr std::array<KindText, static_cast<size_t>(DecisionKind::Count)> kKinds = { {
+  { "avoidance", "started to use {} only when no other upstream has a free slot" },
+  { "clearance", "uses {} normally again" },
+  { "ejection", "ejected {} from the whole fleet" },
+  { "readmission", "readmitted {}" },
+  { "permit_released", "released the ejection permit of {}" },
+  { "lease_lost", "lost the lease of the ejection permit of {}" },
+  { "refusal", "refused requests of {}" },
+  { "drain", "stopped new work to {}, which is leaving" },
+  { "guard", "did not act on the evidence against {}" },
+  { "configuration_accepted", "accepted the configuration {}" },
+  { "configuration_in_force", "put the configuration {} in force" },
+  { "configuration_rejected", "rejected the configuration {}" },
+  { "configuration_store_regressed", "found the store at an older configuration than {}" },
+} };
+
+Error Invalid(std::string aDetail)
+{
+  return Error{ Errc::ProtocolViolation, "record.decode", "", std::move(aDetail) };
+}
+
+Json EncodeEvidence(const std::vector<EvidenceValue>& aEvidence)
+{
+  Json values = Json::array();
+  for (const EvidenceValue& value : aEvidence) {
+    values.push_back({ { "name", value.name }, { "value", value.value } });
+  }
+  return values;
+}
+
+/// JSON has no NaN and no infinity; they are written as null and read as NaN.
+double ReadDouble(const Json& aValue)
+{
+  return aValue.is_null() ? std::numeric_limits<double>::quiet_NaN() : aValue.get<double>();
+}
+
+template<typename Integer>
+Integer ReadInteger(const Json& aValue)
+{
+  if (!aValue.is_number_integer()) {
+    throw std::domain_error("not an integer");
+  }
+  const bool negative = !aValue.is_number_unsigned() && aValue.get<int64_t>() < 0;
+  if (std::is_unsigned_v<Integer> && negative) {
+    throw std::domain_error("negative number");
+  }
+  if (!negative && aValue.get<uint64_t>() > uint64_t(std::numeric_limits<Integer>::max())) {
+    throw std::domain_error("number out of range");
+  }
+  return aValue.get<Integer>();
+}
+
+DecisionKind ReadKind(const Json& aValue)
+{
+  const auto& name = aValue.get_ref<const std::string&>();
+  for (size_t i = 0; i < kKinds.size(); ++i) {
+    if (kKinds[i].name == name) {
+      return static_cast<DecisionKind>(i);
+    }
+  }
+  throw std::domain_error("unknown kind " + name);
+}
+
+DecisionRecord ReadRecord(const Json& aJson)
+{
+  DecisionRecord record;
+  record.id = aJson.at("id").get<std::string>();
+  record.timeMs = ReadInteger<int64_t>(aJson.at("time_ms"));
+  record.proxy = aJson.at("proxy").get<std::string>();
+  record.failureDomain = aJson.at("failure_domain").get<std::string>();
+  record.kind = ReadKind(aJson.at("kind"));
+  record.service = aJson.at("service").get<std::string>();
+  record.subject = aJson.at("subject").get<std::string>();
+  record.requestId = aJson.at("request_id").get<std::string>();
+  record.rule = aJson.at("rule").get<std::string>();
+  record.threshold = ReadDouble(aJson.at("threshold"));
+  for (const Json& value : aJson.at("evidence")) {
+    record.evidence.push_back(
+      { value.at("name").get<std::string>(), ReadDouble(value.at("value")) });
+  }
+  record.opposing = aJson.at("opposing").get<std::vector<std::string>>();
+  record.revision = ReadInteger<uint64_t>(aJson.at("revision"));
+  record.digest = aJson.at("digest").get<std::string>();
+  record.count = ReadInteger<uint32_t>(aJson.at("count"));
+  return record;
+}
+
+std::string SubjectText(const DecisionRecord& aRecord)
+{
+  switch (aRecord.kind) {
+    case DecisionKind::ConfigurationAccepted:
+    case DecisionKind::ConfigurationInForce:
+    case DecisionKind::ConfigurationRejected:
+    case DecisionKind::ConfigurationStoreRegressed:
+      return aRecord.subject.empty() ? fmt::format("revision {}", aRecord.revision)
+                                     : aRecord.subject;
+    case DecisionKind::Refusal:
+      return fmt::format("caller class {}", aRecord.subject.empty() ? "any" : aRecord.subject);
+    default:
+      return fmt::format("upstream {}", aRecord.subject.empty() ? "(none)" : aRecord.subject);
+  }
+}
+
+std::string JoinEvidence(const std::vector<EvidenceValue>& aEvidence)
+{
+  std::string text;
+  for (const EvidenceValue& value : aEvidence) {
+    text += fmt::format("{}{} = {:.6g}", text.empty() ? "" : ", ", value.name, value.value);
+  }
+  return text;
+}
+
+} // namespace
+
+std::string_view ToString(DecisionKind aKind)
+{
+  const auto index = static_cast<size_t>(aKind);
+  return index < kKinds.size() ? kKinds[index].name : "unknown";
+}
+
+std::string EncodeRecord(const DecisionRecord& aRecord)
+{
+  const Json json = {
+    { "id", aRecord.id },
+    { "time_ms", aRecord.timeMs },
+    { "proxy", aRecord.proxy },
+    { "failure_domain", aRecord.failureDomain },
+    { "kind", ToString(aRecord.kind) },
+    { "service", aRecord.service },
+    { "subject", aRecord.subject },
+    { "request_id", aRecord.requestId },
+    { "rule", aRecord.rule },
+    { "threshold", aRecord.threshold },
+    { "evidence", EncodeEvidence(aRecord.evidence) },
+    { "opposing", aRecord.opposing },
+    { "revision", aRecord.revision },
+    { "digest", aRecord.digest },
+    { "count", aRecord.count },
+  };
+  // Subjects may come from a caller; invalid UTF-8 is replaced instead of throwing.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<DecisionRecord> DecodeRecord(std::string_view aJson)
+{
+  const Json json = Json::parse(aJson, nullptr, false);
+  if (!json.is_object()) {
+    return Invalid("not a JSON object");
+  }
+  try {
+    return ReadRecord(json);
+  } catch (const std::exception& error) {
+    return Invalid(error.what());
+  }
+}
+
+std::string Describe(const DecisionRecord& aRecord)
+{
+  const auto kind = static_cast<size_t>(aRecord.kind);
+  std::string text =
+    fmt::format("At {} ms proxy {} ({}) ", aRecord.timeMs, aRecord.proxy, aRecord.failureDomain);
+  text += kind < kKinds.size()
+            ? fmt::format(fmt::runtime(kKinds[kind].sentence), SubjectText(aRecord))
+            : "made an unknown decision";
+  if (!aRecord.service.empty()) {
+    text += fmt::format(" in service {}", aRecord.service);
+  }
+  if (aRecord.count > 1) {
+    text += fmt::format(", {} times", aRecord.count);
+  }
+  if (!aRecord.rule.empty()) {
+    text += fmt::format(", by rule {} with threshold {:.6g}", aRecord.rule, aRecord.threshold);
+  }
+  if (!aRecord.evidence.empty()) {
+    text += "; evidence: " + JoinEvidence(aRecord.evidence);
+  }
+  if (!aRecord.opposing.empty()) {
+    text += fmt::format("; opposed by: {}", fmt::join(aRecord.opposing, ", "));
+  }
+  if (!aRecord.requestId.empty()) {
+    text += "; request " + aRecord.requestId;
+  }
+  text += fmt::format(
+    "; configuration revision {} (digest {})", aRecord.revision, aRecord.digest.substr(0, 12));
+  return text + ".";
+}
+
+} // namespace bg
--- /dev/null
+++ b/packages/records/tests/records_test.cpp
@@ -0,0 +1,133 @@
+#include <doctest/doctest.h>
+
+#include "boragegauge/records.h"
+
+using namespace bg;
+
+namespace {
+
+DecisionRecord Refusal(std::string aSubject)
+{
+  DecisionRecord record;
+  record.kind = DecisionKind::Refusal;
+  record.service = "order-desk";
+  record.subject = std::move(aSubject);
+  record.rule = "queue_limit";
+  return record;
+}
+
+DecisionRecord Ejection()
+{
+  DecisionRecord record;
+  record.kind = DecisionKind::Ejection;
+  record.service = "order-desk";
+  record.subject = "desk-7";
+  record.rule = "cusum";
+  record.threshold = 8;
+  record.evidence = { { "failed", 12 }, { "score", 9.25 } };
+  record.opposing = { "floor" };
+  record.revision = 41;
+  record.digest = "0123456789abcdef";
+  return record;
+}
+
+} // namespace
+
+TEST_CASE("records of one proxy")
+{
+  RecordRing ring(RecordRingInit{ "p1", "77", "xela-a", 4, Milliseconds(10000) });
+
+  SUBCASE("repeated refusals are counted into the first within an interval")
+  {
+    // Guards against an overload that fills the ring with one refusal per request.
+    for (int i = 0; i < 100; ++i) {
+      ring.Add(Refusal("shops"), 1000 + i);
+    }
+    ring.Add(Refusal("designers"), 1050);
+    REQUIRE(ring.Snapshot().size() == 2);
+    CHECK(ring.Snapshot()[0].count == 100);
+    CHECK(ring.Snapshot()[0].id == "p1-77-1");
+    CHECK(ring.Stats().repeats == 99);
+
+    // An open interval is not uploaded, because its count is not final.
+    CHECK(ring.TakeBatch(10, 10999).empty());
+    ring.Add(Refusal("shops"), 11000);
+    const auto batch = ring.TakeBatch(10, 11050);
+    REQUIRE(batch.size() == 2);
+    CHECK(batch[0].count == 100);
+    CHECK(ring.Snapshot().size() == 3);
+  }
+
+  SUBCASE("a returned batch comes again, in order, and without duplicates")
+  {
+    // Guards against records that are lost when the object store is unavailable.
+    ring.Add(Ejection(), 1);
+    ring.Add(Ejection(), 2);
+    auto batch = ring.TakeBatch(1, 3);
+    REQUIRE(batch.size() == 1);
+    ring.Add(Ejection(), 3);
+    ring.ReturnBatch(std::move(batch));
+    batch = ring.TakeBatch(10, 4);
+    REQUIRE(batch.size() == 3);
+    CHECK(batch[0].id == "p1-77-1");
+    CHECK(batch[2].id == "p1-77-3");
+    CHECK(ring.TakeBatch(10, 4).empty());
+  }
+
+  SUBCASE("memory is bounded and losses are counted")
+  {
+    for (int i = 0; i < 10; ++i) {
+      ring.Add(Ejection(), i);
+    }
+    CHECK(ring.Snapshot().size() == 4);
+    CHECK(ring.Snapshot()[0].id == "p1-77-7");
+    CHECK(ring.Stats().dropped == 6);
+  }
+
+  SUBCASE("a wall clock that is set back does not hold a refusal")
+  {
+    ring.Add(Refusal("shops"), 1000000);
+    ring.Add(Refusal("shops"), 500000);
+    CHECK(ring.TakeBatch(10, 400000).size() == 2);
+  }
+}
+
+TEST_CASE("a record survives encoding, and invalid text is refused")
+{
+  for (int kind = 0; kind < static_cast<int>(DecisionKind::Count); ++kind) {
+    DecisionRecord record = Ejection();
+    record.kind = static_cast<DecisionKind>(kind);
+    record.count = 3;
+    const auto decoded = DecodeRecord(EncodeRecord(record));
+    REQUIRE(decoded);
+    CHECK(decoded->kind == record.kind);
+    CHECK(EncodeRecord(*decoded) == EncodeRecord(record));
+  }
+  const std::string text = EncodeRecord(Ejection());
+  for (const auto& [from, to] : { std::pair{ "\"ejection\"", "\"expulsion\"" },
+                                  std::pair{ "\"revision\":41", "\"revision\":-41" },
+                                  std::pair{ "\"count\":1", "\"count\":4294967296" },
+                                  std::pair{ "\"rule\"", "\"role\"" } }) {
+    std::string changed = text;
+    changed.replace(changed.find(from), std::string_view(from).size(), to);
+    CAPTURE(changed);
+    REQUIRE_FALSE(DecodeRecord(changed));
+    CHECK(DecodeRecord(changed).Failure().code == Errc::ProtocolViolation);
+  }
+  CHECK_FALSE(DecodeRecord("[]"));
+  CHECK_FALSE(DecodeRecord(text.substr(0, text.size() - 1)));
+  // A subject that is not UTF-8 must not throw while it is written.
+  CHECK(DecodeRecord(EncodeRecord(Refusal("\xff\xfe"))));
+}
+
+TEST_CASE("a description has the numbers")
+{
+  DecisionRecord record = Ejection();
+  record.proxy = "p1";
+  record.failureDomain = "xela-a";
+  CHECK(Describe(record) ==
+        "At 0 ms proxy p1 (xela-a) ejected upstream desk-7 from the whole fleet "
+        "in service order-desk, by rule cusum with threshold 8; evidence: "
+        "failed = 12, score = 9.25; opposed by: floor; configuration revision "
+        "41 (digest 0123456789ab).");
+}
