Add the detection package: sequential tests, guard, readmission and floor

Cause: the proxy and the coordination package need the interface of the decision code before they can be written. A report states the time it covers; from it the pool estimates the good outcomes of proxies that had no bad outcome and therefore did not report. Ruled out: counting all good outcomes of a report, because the first report after a long healthy time would cancel the bad outcomes of all other proxies.

--- /dev/null
+++ b/packages/detection/src/evidence_values.cpp
@@ -0,0 +1,110 @@
+#include <algorithm>
+
+#include "boragegauge/detection.h"
+
+namespace bg {
+
+namespace {
+
+/// Visits each field with its name, for writing and for reading.
+template<typename Visitor, typename Evidence>
+void VisitFields(Evidence& aEvidence, Visitor&& aVisit)
+{
+  aVisit("p0", aEvidence.rates.normal);
+  aVisit("p1", aEvidence.rates.unhealthy);
+  aVisit("threshold", aEvidence.threshold);
+  aVisit("score_before", aEvidence.scoreBefore);
+  aVisit("pooled", aEvidence.pooled);
+  aVisit("suspects", aEvidence.suspects);
+  aVisit("members", aEvidence.members);
+  aVisit("max_bad_fraction", aEvidence.maxBadFraction);
+  aVisit("guard_held", aEvidence.guardHeld);
+}
+
+template<typename Visitor, typename Evidence>
+void VisitDomain(Evidence& aDomain, const std::string& aPrefix, Visitor&& aVisit)
+{
+  aVisit(aPrefix + "score_before", aDomain.scoreBefore);
+  aVisit(aPrefix + "good", aDomain.counts.good);
+  aVisit(aPrefix + "failed", aDomain.counts.failed);
+  aVisit(aPrefix + "slow", aDomain.counts.slow);
+  aVisit(aPrefix + "assumed_good", aDomain.assumedGood);
+  aVisit(aPrefix + "observers", aDomain.observers);
+  aVisit(aPrefix + "enough_observers", aDomain.enoughObservers);
+  aVisit(aPrefix + "avoided", aDomain.avoided);
+}
+
+std::string DomainPrefix(size_t aDomain)
+{
+  return "domain_" + std::to_string(aDomain) + "_";
+}
+
+class Reader
+{
+public:
+  explicit Reader(std::span<const EvidenceValue> aValues)
+    : values_(aValues)
+  {
+  }
+
+  template<typename T>
+  void operator()(const std::string& aName, T& aField)
+  {
+    const auto it = std::ranges::find(values_, aName, &EvidenceValue::name);
+    if (it != values_.end()) {
+      aField = static_cast<T>(it->value);
+    } else if (missing_.empty()) {
+      missing_ = aName;
+    }
+  }
+
+  bool Has(const std::string& aName) const
+  {
+    return std::ranges::find(values_, aName, &EvidenceValue::name) != values_.end();
+  }
+  const std::string& Missing() const { return missing_; }
+
+private:
+  std::span<const EvidenceValue> values_;
+  std::string missing_;
+};
+
+} // namespace
+
+std::vector<EvidenceValue> ToEvidenceValues(const VerdictEvidence& aEvidence)
+{
+  std::vector<EvidenceValue> values;
+  const auto write = [&values](const std::string& aName, const auto& aField) {
+    values.push_back({ aName, static_cast<double>(aField) });
+  };
+  VisitFields(aEvidence, write);
+  for (const DomainEvidence& domain : aEvidence.domains) {
+    VisitDomain(domain, DomainPrefix(domain.domain.idx), write);
+  }
+  return values;
+}
+
+Result<VerdictEvidence> ParseEvidenceValues(std::span<const EvidenceValue> aValues)
+{
+  VerdictEvidence evidence;
+  Reader reader(aValues);
+  VisitFields(evidence, reader);
+  // A Local verdict has one entry without a failure domain, which sorts last.
+  for (size_t i = 0; i <= UINT16_MAX; i = i == kMaxFailureDomains ? UINT16_MAX : i + 1) {
+    const std::string prefix = DomainPrefix(i);
+    if (reader.Has(prefix + "score_before")) {
+      DomainEvidence& domain = evidence.domains.emplace_back();
+      domain.domain.idx = static_cast<uint16_t>(i);
+      VisitDomain(domain, prefix, reader);
+    }
+    if (i == UINT16_MAX) {
+      break;
+    }
+  }
+  if (!reader.Missing().empty()) {
+    return Error{ Errc::NotFound, "detection.parse_evidence", "", "no value " + reader.Missing() };
+  }
+  return evidence;
+}
+
+} // namespace bg
--- /dev/null
+++ b/packages/detection/src/sequential_test.cpp
@@ -0,0 +1,124 @@
+#include <algorithm>
+#include <cmath>
+
+#include "boragegauge/detection.h"
+
+namespace bg {
+
+namespace {
+
+constexpr double kMinNormalRate = 0.01;
+// Above this rate "normal" and "unhealthy" can no longer be told apart.
+constexpr double kMaxNormalRate = 0.45;
+constexpr double kUnhealthyRate = 0.35;
+
+/// Share of the threshold that a second domain must reach to confirm an Upstream verdict. Half of
+/// it cannot come from a single random failure.
+constexpr double kSecondDomainShare = 0.5;
+
+struct DomainSummary
+{
+  uint32_t supporting = 0;
+  size_t worst = SIZE_MAX;
+};
+
+DomainSummary Summarize(const VerdictEvidence& aEvidence, const Decision& aDecision)
+{
+  DomainSummary summary;
+  for (size_t i = 0; i < aEvidence.domains.size(); ++i) {
+    const DomainEvidence& domain = aEvidence.domains[i];
+    const double score = aDecision.domainScores[i];
+    if (domain.avoided || score >= aEvidence.threshold * kSecondDomainShare) {
+      ++summary.supporting;
+    }
+    if (score >= aEvidence.threshold && domain.enoughObservers && !domain.avoided &&
+        (summary.worst == SIZE_MAX || score > aDecision.domainScores[summary.worst])) {
+      summary.worst = i;
+    }
+  }
+  return summary;
+}
+
+} // namespace
+
+EvidenceCounts& EvidenceCounts::operator+=(const EvidenceCounts& aOther)
+{
+  good += aOther.good;
+  failed += aOther.failed;
+  slow += aOther.slow;
+  return *this;
+}
+
+TestRates RatesFor(const ServiceBaseline& aBaseline)
+{
+  TestRates rates;
+  rates.normal = std::clamp(aBaseline.badRate, kMinNormalRate, kMaxNormalRate);
+  rates.unhealthy = std::max(kUnhealthyRate, 2 * rates.normal);
+  return rates;
+}
+
+double LogLikelihoodRatio(const TestRates& aRates, double aGood, double aBad)
+{
+  return aBad * std::log(aRates.unhealthy / aRates.normal) +
+         aGood * std::log((1 - aRates.unhealthy) / (1 - aRates.normal));
+}
+
+double NextScore(double aScore, const TestRates& aRates, double aGood, double aBad)
+{
+  return std::max(0.0, aScore + LogLikelihoodRatio(aRates, aGood, aBad));
+}
+
+std::string_view ToString(VerdictScope aScope)
+{
+  static constexpr std::array<std::string_view, 4> kNames = { "none", "local", "path", "upstream" };
+  const auto index = static_cast<size_t>(aScope);
+  return index < kNames.size() ? kNames[index] : "unknown";
+}
+
+bool TooManySuspects(uint32_t aSuspects, uint32_t aMembers, double aMaxFraction)
+{
+  // A single suspect is never "too many"; otherwise services of one or two upstreams would have no
+  // detection at all. The floor still protects them.
+  return aSuspects > 1 && aSuspects > aMaxFraction * aMembers;
+}
+
+Decision Decide(const VerdictEvidence& aEvidence)
+{
+  Decision decision;
+  Decide(aEvidence, decision);
+  return decision;
+}
+
+void Decide(const VerdictEvidence& aEvidence, Decision& aDecision)
+{
+  aDecision.scope = VerdictScope::None;
+  aDecision.domain = {};
+  aDecision.domainScores.clear();
+  double good = 0;
+  double bad = 0;
+  for (const DomainEvidence& domain : aEvidence.domains) {
+    aDecision.domainScores.push_back(
+      NextScore(domain.scoreBefore, aEvidence.rates, domain.assumedGood, domain.counts.Bad()));
+    good += domain.assumedGood;
+    bad += domain.counts.Bad();
+  }
+  aDecision.score = NextScore(aEvidence.scoreBefore, aEvidence.rates, good, bad);
+
+  aDecision.guarded =
+    aEvidence.guardHeld ||
+    TooManySuspects(aEvidence.suspects, aEvidence.members, aEvidence.maxBadFraction);
+  if (!aEvidence.pooled) {
+    aDecision.scope =
+      aDecision.score >= aEvidence.threshold ? VerdictScope::Local : VerdictScope::None;
+    return;
+  }
+  const DomainSummary summary = Summarize(aEvidence, aDecision);
+  if (aDecision.score >= aEvidence.threshold && summary.supporting >= 2) {
+    aDecision.scope = VerdictScope::Upstream;
+  } else if (summary.worst != SIZE_MAX) {
+    aDecision.scope = VerdictScope::Path;
+    aDecision.domain = aEvidence.domains[summary.worst].domain;
+  }
+}
+
+} // namespace bg
--- /dev/null
+++ b/packages/detection/src/upstream_table.cpp
@@ -0,0 +1,38 @@
+#include <unordered_map>
+
+#include "boragegauge/detection.h"
+
+namespace bg::detail {
+
+std::vector<uint16_t> UpstreamTable::Rebuild(const Configuration& aConfiguration)
+{
+  std::unordered_map<std::string, uint16_t> former;
+  for (size_t i = 0; i < keys_.size(); ++i) {
+    former.emplace(std::move(keys_[i]), static_cast<uint16_t>(i));
+  }
+  keys_.clear();
+  std::vector<uint16_t> formerIndex;
+  for (const UpstreamConfig& upstream : aConfiguration.upstreams) {
+    const std::string& service = aConfiguration.services[upstream.service.idx].id;
+    keys_.push_back(service + '\n' + upstream.id);
+    const auto it = former.find(keys_.back());
+    formerIndex.push_back(it == former.end() ? UINT16_MAX : it->second);
+  }
+  return formerIndex;
+}
+
+std::vector<ServiceMembers> CollectServices(const Configuration& aConfiguration)
+{
+  std::vector<ServiceMembers> services(aConfiguration.services.size());
+  for (size_t i = 0; i < services.size(); ++i) {
+    services[i].config = aConfiguration.services[i].detection;
+    services[i].readmission.minBackoff = services[i].config.minBackoff;
+    services[i].readmission.maxBackoff = services[i].config.maxBackoff;
+  }
+  for (size_t i = 0; i < aConfiguration.upstreams.size(); ++i) {
+    services[aConfiguration.upstreams[i].service.idx].upstreams.push_back(static_cast<uint16_t>(i));
+  }
+  return services;
+}
+
+} // namespace bg::detail
