Move detection to the namespace bg::detection

Cause: detection and protocol both declared EvidenceCounts, EvidenceReport, VerdictScope and Verdict in namespace bg, with different members: a violation of the one-definition rule as soon as the proxy links both. Ruled out: renaming single types (the messages and the detector's input have the same usual names), and never including both in one file (the linker would still merge their inline functions). Change: the package's types and functions live in bg::detection. Conclusion: proxy code can use both packages.

--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -13,7 +13,7 @@
 #include "boragegauge/records.h"
 
 /// Gray-failure detection. Pure decision code: events and the time come in, verdicts come out.
-namespace bg {
+namespace bg::detection {
 
 /// How one real request to an upstream ended (docs/design.md section 5.1).
 enum class OutcomeClass
@@ -440,4 +440,4 @@
 /// Permits that a reader applies, oldest first (ties by upstream id).
 uint32_t PermitsToApply(const ServiceCapacity& aCapacity, uint32_t aFloor);
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/evidence_values.cpp
+++ b/packages/detection/src/evidence_values.cpp
@@ -2,7 +2,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 namespace {
 
@@ -107,4 +107,4 @@
   return evidence;
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/floor.cpp
+++ b/packages/detection/src/floor.cpp
@@ -2,7 +2,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 namespace {
 
@@ -37,4 +37,4 @@
   return static_cast<uint32_t>(std::min<uint64_t>(aCapacity.ejected, Spare(aCapacity, aFloor)));
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -2,7 +2,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 namespace {
 
@@ -184,7 +184,7 @@
   evidence_.domains[0].counts = cell.recent;
   evidence_.domains[0].assumedGood = cell.recent.good;
   evidence_.domains[0].observers = 1;
-  bg::Decide(evidence_, decision_);
+  Decide(evidence_, decision_);
   if (decision_.scope == VerdictScope::None) {
     return;
   }
@@ -294,4 +294,4 @@
   return reports;
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/pooled_detector.cpp
+++ b/packages/detection/src/pooled_detector.cpp
@@ -3,7 +3,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 namespace {
 
@@ -394,4 +394,4 @@
   return cells_[aUpstream * domains_ + aDomain];
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/readmission.cpp
+++ b/packages/detection/src/readmission.cpp
@@ -2,7 +2,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 void ReadmissionState::Extend(const ReadmissionInit& aInit, TimePoint aNow)
 {
@@ -69,4 +69,4 @@
   return true;
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/sequential_test.cpp
+++ b/packages/detection/src/sequential_test.cpp
@@ -3,7 +3,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg {
+namespace bg::detection {
 
 namespace {
 
@@ -121,4 +121,4 @@
   }
 }
 
-} // namespace bg
+} // namespace bg::detection
--- a/packages/detection/src/upstream_table.cpp
+++ b/packages/detection/src/upstream_table.cpp
@@ -2,7 +2,7 @@
 
 #include "boragegauge/detection.h"
 
-namespace bg::detail {
+namespace bg::detection::detail {
 
 std::vector<uint16_t> UpstreamTable::Rebuild(const Configuration& aConfiguration)
 {
@@ -35,4 +35,4 @@
   return services;
 }
 
-} // namespace bg::detail
+} // namespace bg::detection::detail
