Qualify the free function Decide inside LocalDetector

Cause: the member function of the same name hides it since the move to bg::detection; the build failed. Ruled out: renaming the member. Change: detection::Decide. Conclusion: detection compiles again.

--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -184,7 +184,7 @@
   evidence_.domains[0].counts = cell.recent;
   evidence_.domains[0].assumedGood = cell.recent.good;
   evidence_.domains[0].observers = 1;
-  Decide(evidence_, decision_);
+  detection::Decide(evidence_, decision_);
   if (decision_.scope == VerdictScope::None) {
     return;
   }
