Carry the covered time with evidence counts, return the id of a record

Cause: the pooled detector estimates unreported good outcomes from the time that a report covers, which the message did not carry; a permit names the decision record that explains it, but RecordRing::Add did not return its id. Ruled out: deriving the interval from message times at the receiver, which network delay and the sender's token bucket distort.

--- a/packages/protocol/include/boragegauge/protocol.h
+++ b/packages/protocol/include/boragegauge/protocol.h
@@ -53,6 +53,7 @@
   uint32_t good = 0;
   uint32_t failed = 0;
   uint32_t slow = 0;
+  uint32_t intervalMs = 0; ///< Time that the counts cover.
 };
 
 struct EvidenceReport
--- a/packages/protocol/src/message_codec.cpp
+++ b/packages/protocol/src/message_codec.cpp
@@ -90,6 +90,7 @@
     entry.set_good(counts.good);
     entry.set_failed(counts.failed);
     entry.set_slow(counts.slow);
+    entry.set_interval_ms(counts.intervalMs);
   }
 }
 
@@ -148,7 +149,8 @@
   }
   EvidenceReport body{ Name(aIn.failure_domain(), "failure_domain"), {} };
   for (const wire::EvidenceCounts& entry : aIn.counts()) {
-    body.counts.push_back({ entry.upstream(), entry.good(), entry.failed(), entry.slow() });
+    body.counts.push_back(
+      { entry.upstream(), entry.good(), entry.failed(), entry.slow(), entry.interval_ms() });
   }
   return body;
 }
--- a/packages/records/include/boragegauge/records.h
+++ b/packages/records/include/boragegauge/records.h
@@ -93,7 +93,8 @@
   /// Adds a record. Refusals with the same service, subject and rule within repeatInterval only
   /// increase the count of the first one.
   /// @param aNowMs Wall clock, milliseconds since the Unix epoch.
-  void Add(DecisionRecord aRecord, int64_t aNowMs);
+  /// @return Id of the record; empty when it was counted into an earlier one.
+  std::string Add(DecisionRecord aRecord, int64_t aNowMs);
 
   /// Records that were not taken yet and whose interval has ended, oldest first. A batch that
   /// could not be stored is given back with ReturnBatch().
--- a/packages/records/src/records.cpp
+++ b/packages/records/src/records.cpp
@@ -70,11 +70,11 @@
   return true;
 }
 
-void RecordRing::Add(DecisionRecord aRecord, int64_t aNowMs)
+std::string RecordRing::Add(DecisionRecord aRecord, int64_t aNowMs)
 {
   const bool refusal = aRecord.kind == DecisionKind::Refusal;
   if (refusal && AddRepeat(aRecord, aNowMs)) {
-    return;
+    return {};
   }
   ++sequence_;
   aRecord.id = fmt::format("{}-{}-{}", init_.proxy, init_.incarnation, sequence_);
@@ -94,6 +94,7 @@
     records_.pop_front();
   }
   LimitPending();
+  return records_.back().id;
 }
 
 void RecordRing::LimitPending()
