--- a/tests/support/http_server.cpp
+++ b/tests/support/http_server.cpp
@@ -115,6 +115,7 @@
   bool complete_ = false;
   bool fieldEnded_ = false;
   bool closed_ = false;
+  bool writing_ = false;
   std::shared_ptr<Exchange> exchange_;
 };
 
@@ -189,44 +190,58 @@
   {
     Accept();
   }
-  ~Server() override
-  {
-    const auto connections = connections_;
-    for (const auto& connection : connections) {
-      connection->Shutdown(true);
-    }
-  }
+  ~Server() override { CloseAll(false); }
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
   uint16_t Port() const override { return acceptor_.local_endpoint().port(); }
   void StopAccepting() override { acceptor_.close(); }
   size_t Connections() const override { return connections_.size(); }
+  size_t PendingWrites() const override { return pendingWrites_; }
+  void Abort() override
+  {
+    acceptor_.close();
+    CloseAll(true);
+  }
+
+  void CountWrite(int aChange) { pendingWrites_ += aChange; }
 
   void Handle(std::shared_ptr<HttpExchange> aExchange) { init_.handler(std::move(aExchange)); }
   void Remove(const std::shared_ptr<Connection>& aConnection) { connections_.erase(aConnection); }
 
 private:
+  void CloseAll(bool aReset)
+  {
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+      connection->Shutdown(aReset);
+    }
+  }
+
   void Accept()
   {
-    acceptor_.async_accept([this](const std::error_code& aError, tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError) {
-        auto connection = std::make_shared<Connection>(std::move(aSocket), *this);
-        connections_.insert(connection);
-        connection->Read();
-      }
-      if (acceptor_.is_open()) {
-        Accept();
-      }
-    });
+    acceptor_.async_accept(
+      [this, alive = std::weak_ptr(alive_)](const std::error_code& aError, tcp::socket aSocket) {
+        // A completed accept may still be queued when the server is destroyed.
+        if (alive.expired() || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          auto connection = std::make_shared<Connection>(std::move(aSocket), *this);
+          connections_.insert(connection);
+          connection->Read();
+        }
+        if (acceptor_.is_open()) {
+          Accept();
+        }
+      });
   }
 
   HttpServerInit init_;
   tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Connection>> connections_;
+  size_t pendingWrites_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 const http_parser_settings& Connection::Settings()
@@ -322,6 +337,8 @@
 void Connection::Write(std::string aBytes, bool aKeepAlive, bool aReset)
 {
   auto bytes = std::make_shared<std::string>(std::move(aBytes));
+  server_->CountWrite(1);
+  writing_ = true;
   asio::async_write(
     socket_,
     asio::buffer(*bytes),
@@ -351,6 +368,7 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
+  server_->CountWrite(writing_ ? -1 : 0);
   server_->Remove(self);
   if (auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->Closed();
--- a/tests/support/http_server.h
+++ b/tests/support/http_server.h
@@ -70,7 +70,8 @@
   HttpHandler handler;
 };
 
-/// Listens on 127.0.0.1. Destroying it closes the listener and all connections.
+/// Listens on 127.0.0.1. Destroying it closes the listener and all connections; it must not happen
+/// inside the handler.
 class HttpServer
 {
 public:
@@ -78,6 +79,10 @@
   virtual uint16_t Port() const = 0;
   virtual void StopAccepting() = 0;
   virtual size_t Connections() const = 0;
+  /// Responses that are not completely written yet.
+  virtual size_t PendingWrites() const = 0;
+  /// Closes the listener and resets all connections, as when the process is killed.
+  virtual void Abort() = 0;
 };
 
 /// Throws std::system_error when the port cannot be bound.
