Add the upstream client on libcurl's multi interface

Cause: the proxy needs an HTTP client on its event loop that reports truthfully whether a request may have left and never mixes up responses.

Ruled out: dup'ed descriptors for Asio (two more system calls for each socket and a connection that stays open until the copy is closed) and CURLINFO_ACTIVESOCKET in the pre-request callback (curl 7.88 has no socket there yet; sockets are found by peer and local port instead).

Change: sockets are opened and closed through callbacks, so that each Asio descriptor lives exactly as long as its socket. A reused connection with unread bytes is refused before the request is sent: a test showed that curl 7.88 takes such bytes for the next response. A response that only the close ends counts as truncated.

--- a/packages/upstream/include/boragegauge/upstream.h
+++ b/packages/upstream/include/boragegauge/upstream.h
@@ -35,10 +35,11 @@
 enum class UpstreamFailure
 {
   None,
-  Connect,   ///< No connection; nothing was sent.
-  Timeout,   ///< Deadline passed without a complete response.
-  Reset,     ///< Connection closed before a complete response.
-  Truncated, ///< Body ended before its stated length or last chunk.
+  Connect, ///< No connection; nothing was sent.
+  Timeout, ///< Deadline passed without a complete response.
+  Reset,   ///< Connection closed before a complete response.
+  /// Body ended before its stated length or last chunk, or its end is stated by the close only.
+  Truncated,
   TooLarge,
   Protocol, ///< Response is not valid HTTP.
   Cancelled,
--- /dev/null
+++ b/packages/upstream/src/curl_client.cpp
@@ -0,0 +1,500 @@
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <unordered_map>
+
+#include "upstream_p.h"
+
+namespace bg {
+
+namespace {
+
+using namespace detail;
+
+/// Connections kept in total; the limit per upstream is the one of the settings.
+constexpr long kMaxIdleConnections = 4096;
+
+/// Easy handles kept for reuse.
+constexpr size_t kMaxIdleHandles = 256;
+
+class CurlClient;
+
+struct Transfer
+{
+  CurlClient* client = nullptr;
+  uint64_t id = 0;
+  CURL* easy = nullptr;
+  curl_slist* headerList = nullptr;
+  UpstreamRequest request;
+  UpstreamClient::Callback callback;
+  ResponseReader response;
+  TimePoint started;
+  bool staleConnection = false; ///< The reused connection held bytes or had been closed.
+  std::array<char, CURL_ERROR_SIZE> errorText{};
+};
+
+long ToMilliseconds(Duration aDuration)
+{
+  return std::max<long>(1, std::chrono::ceil<Milliseconds>(aDuration).count());
+}
+
+class CurlClient : public std::enable_shared_from_this<CurlClient>
+{
+public:
+  explicit CurlClient(const UpstreamClientInit& aInit)
+    : init_(aInit)
+    , context_(aInit.loop->Context())
+    , timer_(context_)
+    , multi_(curl_multi_init())
+  {
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    curl_multi_setopt(
+      multi_, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(aInit.maxConnectionsPerUpstream));
+  }
+
+  CurlClient(const CurlClient&) = delete;
+  CurlClient& operator=(const CurlClient&) = delete;
+
+  /// Ends all transfers without calling back.
+  ~CurlClient()
+  {
+    for (auto& [id, transfer] : transfers_) {
+      curl_multi_remove_handle(multi_, transfer->easy);
+      curl_easy_cleanup(transfer->easy);
+      curl_slist_free_all(transfer->headerList);
+    }
+    for (CURL* easy : idleHandles_) {
+      curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+  }
+
+  uint64_t Send(UpstreamRequest aRequest, UpstreamClient::Callback aCallback);
+  void Cancel(uint64_t aTransfer);
+  UpstreamClientStats Stats() const;
+  void Stop() { stopped_ = true; }
+  void SocketAction(curl_socket_t aSocket, int aEvent);
+
+private:
+  static int OnSocket(CURL*, curl_socket_t aSocket, int aWhat, void* aClient, void*);
+  static int OnTimer(CURLM*, long aTimeoutMs, void* aClient);
+  static curl_socket_t OnOpenSocket(void* aClient, curlsocktype, curl_sockaddr* aAddress);
+  static int OnCloseSocket(void* aClient, curl_socket_t aSocket);
+  static int OnBeforeRequest(void* aTransfer, char* aPeer, char*, int aPeerPort, int aLocalPort);
+
+  void SetTimer(long aTimeoutMs);
+  void ArmTimer();
+  void TimerExpired();
+  void StartAttempt(Transfer& aTransfer);
+  void ReadMessages();
+  void Finish(Transfer& aTransfer, CURLcode aCode);
+  bool RetryOnFreshConnection(Transfer& aTransfer, CURLcode aCode);
+  void Recycle(Transfer& aTransfer);
+  UpstreamResult MakeResult(Transfer& aTransfer, CURLcode aCode);
+  std::unique_ptr<Transfer> Take(uint64_t aTransfer);
+  void PostResult(UpstreamClient::Callback aCallback, UpstreamResult aResult);
+
+  UpstreamClientInit init_;
+  asio::io_context& context_;
+  asio::steady_timer timer_;
+  CURLM* multi_;
+  bool stopped_ = false;
+  bool reading_ = false;
+  bool actionPosted_ = false;
+  TimePoint timerDue_ = TimePoint::max();   ///< When curl wants to be called.
+  TimePoint timerArmed_ = TimePoint::max(); ///< When the Asio timer expires.
+  uint64_t nextId_ = 1;
+  UpstreamClientStats stats_;
+  std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers_;
+  std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> sockets_;
+  /// Sockets by connection name.
+  std::unordered_map<std::string, curl_socket_t> connections_;
+  std::vector<CURL*> idleHandles_;
+};
+
+int CurlClient::OnSocket(CURL*, curl_socket_t aSocket, int aWhat, void* aClient, void*)
+{
+  auto* client = static_cast<CurlClient*>(aClient);
+  const auto found = client->sockets_.find(aSocket);
+  if (found != client->sockets_.end()) {
+    found->second->SetInterest(aWhat);
+    if (const std::string& name = found->second->Name(); !name.empty()) {
+      client->connections_.insert_or_assign(name, aSocket);
+    }
+  }
+  return 0;
+}
+
+/// Refuses a reused connection on which bytes or a close have arrived since its last response.
+/// curl 7.88 checks only for a close, and would take such bytes for the response to this request.
+int CurlClient::OnBeforeRequest(void* aTransfer,
+                                char* aPeer,
+                                char* /*aLocal*/,
+                                int aPeerPort,
+                                int aLocalPort)
+{
+  auto* transfer = static_cast<Transfer*>(aTransfer);
+  CurlClient& client = *transfer->client;
+  long connects = 0;
+  curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
+  if (connects > 0) {
+    return CURL_PREREQFUNC_OK;
+  }
+  const auto named = client.connections_.find(ConnectionName(aPeer, aPeerPort, aLocalPort));
+  if (named != client.connections_.end() && !client.sockets_.at(named->second)->HasUnreadInput()) {
+    return CURL_PREREQFUNC_OK;
+  }
+  transfer->staleConnection = true;
+  return CURL_PREREQFUNC_ABORT;
+}
+
+curl_socket_t CurlClient::OnOpenSocket(void* aClient, curlsocktype, curl_sockaddr* aAddress)
+{
+  auto* client = static_cast<CurlClient*>(aClient);
+  const curl_socket_t socket = ::socket(
+    aAddress->family, aAddress->socktype | SOCK_NONBLOCK | SOCK_CLOEXEC, aAddress->protocol);
+  if (socket >= 0) {
+    client->sockets_[socket] =
+      WatchSocket(client->context_,
+                  socket,
+                  &aAddress->addr,
+                  [weak = client->weak_from_this()](int aSocket, int aEvent) {
+                    if (auto self = weak.lock()) {
+                      self->SocketAction(aSocket, aEvent);
+                    }
+                  });
+  }
+  return socket < 0 ? CURL_SOCKET_BAD : socket;
+}
+
+int CurlClient::OnCloseSocket(void* aClient, curl_socket_t aSocket)
+{
+  auto* client = static_cast<CurlClient*>(aClient);
+  const auto found = client->sockets_.find(aSocket);
+  if (found == client->sockets_.end()) {
+    return ::close(aSocket);
+  }
+  const auto named = client->connections_.find(found->second->Name());
+  if (named != client->connections_.end() && named->second == aSocket) {
+    client->connections_.erase(named);
+  }
+  found->second->Close();
+  client->sockets_.erase(found);
+  return 0;
+}
+
+int CurlClient::OnTimer(CURLM*, long aTimeoutMs, void* aClient)
+{
+  static_cast<CurlClient*>(aClient)->SetTimer(aTimeoutMs);
+  return 0;
+}
+
+void CurlClient::SetTimer(long aTimeoutMs)
+{
+  if (stopped_) {
+    return;
+  }
+  if (aTimeoutMs < 0) {
+    timerDue_ = TimePoint::max();
+    return;
+  }
+  if (aTimeoutMs > 0) {
+    timerDue_ = Now() + Milliseconds(aTimeoutMs);
+    ArmTimer();
+    return;
+  }
+  timerDue_ = TimePoint::max();
+  if (!actionPosted_) {
+    actionPosted_ = true;
+    asio::post(context_, [weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->actionPosted_ = false;
+        self->SocketAction(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+}
+
+/// Leaves an earlier expiry in place, because each change costs a system call; curl moves its
+/// timer several times in each transfer.
+void CurlClient::ArmTimer()
+{
+  if (timerDue_ >= timerArmed_) {
+    return;
+  }
+  timerArmed_ = timerDue_;
+  timer_.expires_at(timerDue_);
+  timer_.async_wait([weak = weak_from_this()](const std::error_code& aError) {
+    auto self = weak.lock();
+    if (!aError && self) {
+      self->TimerExpired();
+    }
+  });
+}
+
+void CurlClient::TimerExpired()
+{
+  timerArmed_ = TimePoint::max();
+  if (Now() < timerDue_) {
+    ArmTimer();
+    return;
+  }
+  timerDue_ = TimePoint::max();
+  SocketAction(CURL_SOCKET_TIMEOUT, 0);
+}
+
+void CurlClient::SocketAction(curl_socket_t aSocket, int aEvent)
+{
+  if (stopped_) {
+    return;
+  }
+  int running = 0;
+  curl_multi_socket_action(multi_, aSocket, aEvent, &running);
+  ReadMessages();
+}
+
+uint64_t CurlClient::Send(UpstreamRequest aRequest, UpstreamClient::Callback aCallback)
+{
+  const uint64_t id = nextId_++;
+  ++stats_.transfers;
+  std::string problem = CheckRequest(aRequest);
+  if (!problem.empty() || aRequest.deadline <= Duration::zero()) {
+    UpstreamResult result;
+    result.failure = problem.empty() ? UpstreamFailure::Timeout : UpstreamFailure::Protocol;
+    result.detail = problem.empty() ? "deadline has passed" : std::move(problem);
+    PostResult(std::move(aCallback), std::move(result));
+    return id;
+  }
+  auto transfer = std::make_unique<Transfer>();
+  transfer->id = id;
+  transfer->client = this;
+  transfer->request = std::move(aRequest);
+  transfer->callback = std::move(aCallback);
+  transfer->started = Now();
+  if (idleHandles_.empty()) {
+    transfer->easy = curl_easy_init();
+    SetFixedOptions(transfer->easy);
+    curl_easy_setopt(transfer->easy, CURLOPT_OPENSOCKETFUNCTION, OnOpenSocket);
+    curl_easy_setopt(transfer->easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
+    curl_easy_setopt(transfer->easy, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(transfer->easy, CURLOPT_CLOSESOCKETFUNCTION, OnCloseSocket);
+    curl_easy_setopt(transfer->easy, CURLOPT_CLOSESOCKETDATA, this);
+  } else {
+    transfer->easy = idleHandles_.back();
+    idleHandles_.pop_back();
+  }
+  transfer->headerList = SetRequest(transfer->easy, transfer->request, transfer->response);
+  StartAttempt(*transfer);
+  transfers_.emplace(id, std::move(transfer));
+  return id;
+}
+
+void CurlClient::StartAttempt(Transfer& aTransfer)
+{
+  CURL* easy = aTransfer.easy;
+  const UpstreamRequest& request = aTransfer.request;
+  const Duration left = request.deadline - (Now() - aTransfer.started);
+  const long age = std::max<long>(1, init_.maxConnectionAge / std::chrono::seconds(1));
+  aTransfer.response.Start(request.method == "HEAD", request.maxResponseBytes);
+  aTransfer.errorText[0] = '\0';
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.errorText.data());
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToMilliseconds(left));
+  curl_easy_setopt(
+    easy, CURLOPT_CONNECTTIMEOUT_MS, ToMilliseconds(std::min(left, request.connectTimeout)));
+  const bool fresh = request.freshConnection || aTransfer.staleConnection;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, age);
+  curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, age);
+  curl_multi_add_handle(multi_, easy);
+}
+
+void CurlClient::Cancel(uint64_t aTransfer)
+{
+  std::unique_ptr<Transfer> transfer = Take(aTransfer);
+  if (transfer == nullptr) {
+    return;
+  }
+  // Removing an unfinished transfer closes its connection.
+  curl_multi_remove_handle(multi_, transfer->easy);
+  UpstreamResult result = MakeResult(*transfer, CURLE_ABORTED_BY_CALLBACK);
+  Recycle(*transfer);
+  result.failure = UpstreamFailure::Cancelled;
+  result.detail = "cancelled";
+  PostResult(std::move(transfer->callback), std::move(result));
+}
+
+UpstreamClientStats CurlClient::Stats() const
+{
+  UpstreamClientStats stats = stats_;
+  stats.active = transfers_.size();
+  return stats;
+}
+
+void CurlClient::PostResult(UpstreamClient::Callback aCallback, UpstreamResult aResult)
+{
+  asio::post(context_,
+             [weak = weak_from_this(),
+              callback = std::move(aCallback),
+              result = std::move(aResult)]() mutable {
+               auto self = weak.lock();
+               if (self && !self->stopped_) {
+                 callback(std::move(result));
+               }
+             });
+}
+
+std::unique_ptr<Transfer> CurlClient::Take(uint64_t aTransfer)
+{
+  const auto found = transfers_.find(aTransfer);
+  if (found == transfers_.end()) {
+    return nullptr;
+  }
+  std::unique_ptr<Transfer> transfer = std::move(found->second);
+  transfers_.erase(found);
+  return transfer;
+}
+
+void CurlClient::ReadMessages()
+{
+  // A callback may send or cancel, but neither enters this loop a second time.
+  if (reading_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  reading_ = true;
+  int left = 0;
+  while (CURLMsg* message = stopped_ ? nullptr : curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    Finish(*transfer, message->data.result);
+  }
+  reading_ = false;
+}
+
+void CurlClient::Finish(Transfer& aTransfer, CURLcode aCode)
+{
+  curl_multi_remove_handle(multi_, aTransfer.easy);
+  if (RetryOnFreshConnection(aTransfer, aCode)) {
+    return;
+  }
+  std::unique_ptr<Transfer> transfer = Take(aTransfer.id);
+  UpstreamResult result = MakeResult(*transfer, aCode);
+  if (result.connectionReused) {
+    ++stats_.reusedConnections;
+  } else if (result.connectTime > Duration::zero()) {
+    ++stats_.newConnections;
+  }
+  Recycle(*transfer);
+  transfer->callback(std::move(result));
+}
+
+/// OnBeforeRequest refused the connection, so that nothing was sent yet.
+bool CurlClient::RetryOnFreshConnection(Transfer& aTransfer, CURLcode aCode)
+{
+  if (aCode != CURLE_ABORTED_BY_CALLBACK || !aTransfer.staleConnection ||
+      Now() - aTransfer.started >= aTransfer.request.deadline) {
+    return false;
+  }
+  StartAttempt(aTransfer);
+  return true;
+}
+
+UpstreamResult CurlClient::MakeResult(Transfer& aTransfer, CURLcode aCode)
+{
+  long requestBytes = 0;
+  long connects = 0;
+  curl_off_t connectMicroseconds = 0;
+  curl_easy_getinfo(aTransfer.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+  curl_easy_getinfo(aTransfer.easy, CURLINFO_NUM_CONNECTS, &connects);
+  curl_easy_getinfo(aTransfer.easy, CURLINFO_CONNECT_TIME_T, &connectMicroseconds);
+  UpstreamResult result;
+  ResponseReader& response = aTransfer.response;
+  // curl counts request bytes over all of its own attempts in one transfer.
+  result.maybeSent = requestBytes > 0;
+  result.connectionReused = connects == 0 && result.maybeSent;
+  result.connectTime = std::chrono::microseconds(connectMicroseconds);
+  result.totalTime = Now() - aTransfer.started;
+  result.status = response.Status();
+  result.headers = response.TakeHeaders();
+  result.body = response.TakeBody();
+  if (aCode != CURLE_OK || !response.HeadComplete() || !response.LengthKnown()) {
+    result.failure = ClassifyFailure(aCode,
+                                     response,
+                                     aTransfer.errorText.data(),
+                                     result.maybeSent,
+                                     result.totalTime >= aTransfer.request.deadline);
+    result.detail = aTransfer.errorText[0] != '\0' ? std::string(aTransfer.errorText.data())
+                    : aCode == CURLE_OK            ? std::string("end of response unknown")
+                                                   : std::string(curl_easy_strerror(aCode));
+  }
+  return result;
+}
+
+/// Keeps the handle for later transfers; its buffers and parsed options are reused.
+void CurlClient::Recycle(Transfer& aTransfer)
+{
+  curl_slist_free_all(std::exchange(aTransfer.headerList, nullptr));
+  CURL* easy = std::exchange(aTransfer.easy, nullptr);
+  if (idleHandles_.size() >= kMaxIdleHandles) {
+    curl_easy_cleanup(easy);
+    return;
+  }
+  // Nothing may point into the finished transfer.
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, nullptr);
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, nullptr);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, nullptr);
+  idleHandles_.push_back(easy);
+}
+
+/// Gives the shared client the lifetime of its owner's handle.
+class ClientOwner : public UpstreamClient
+{
+public:
+  explicit ClientOwner(std::shared_ptr<CurlClient> aClient)
+    : client_(std::move(aClient))
+  {
+  }
+  ~ClientOwner() override { client_->Stop(); }
+  ClientOwner(const ClientOwner&) = delete;
+  ClientOwner& operator=(const ClientOwner&) = delete;
+
+  uint64_t Send(UpstreamRequest aRequest, Callback aCallback) override
+  {
+    return client_->Send(std::move(aRequest), std::move(aCallback));
+  }
+  void Cancel(uint64_t aTransfer) override { client_->Cancel(aTransfer); }
+  UpstreamClientStats Stats() const override { return client_->Stats(); }
+
+private:
+  std::shared_ptr<CurlClient> client_;
+};
+
+} // namespace
+
+std::unique_ptr<UpstreamClient> CreateCurlUpstreamClient(const UpstreamClientInit& aInit)
+{
+  static const CURLcode kGlobalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
+  if (kGlobalInit != CURLE_OK) {
+    Log(LogLevel::Error, "curl_init_failed", { { "code", static_cast<int>(kGlobalInit) } });
+  }
+  return std::make_unique<ClientOwner>(std::make_shared<CurlClient>(aInit));
+}
+
+} // namespace bg
--- /dev/null
+++ b/packages/upstream/src/curl_request.cpp
@@ -0,0 +1,144 @@
+#include <curl/curl.h>
+
+#include "upstream_p.h"
+
+namespace bg::detail {
+
+namespace {
+
+/// Read and upload buffer of one transfer, in bytes; below malloc's threshold for mmap.
+constexpr long kTransferBufferBytes = 64L << 10;
+
+std::string UrlOf(const UpstreamRequest& aRequest)
+{
+  const bool v6 = aRequest.address.find(':') != std::string::npos;
+  return "http://" + (v6 ? "[" + aRequest.address + "]" : aRequest.address) + ":" +
+         std::to_string(aRequest.port) + "/";
+}
+
+/// Fields that curl or this client sets itself.
+bool IsManaged(std::string_view aName)
+{
+  return EqualsIgnoreCase(aName, "content-length") || EqualsIgnoreCase(aName, "expect");
+}
+
+curl_slist* BuildHeaderList(const UpstreamRequest& aRequest)
+{
+  curl_slist* list = nullptr;
+  for (const HttpHeader& header : aRequest.headers) {
+    if (IsManaged(header.name) || IsHopByHop(header.name, aRequest.headers)) {
+      continue;
+    }
+    // curl's notation for a field without a value is "Name;".
+    const std::string line =
+      header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+    list = curl_slist_append(list, line.c_str());
+  }
+  // An entry without a value removes the field that curl would add.
+  for (const char* name : { "Accept", "Content-Type", "Expect" }) {
+    if (FindHeader(aRequest.headers, name) == nullptr || IsManaged(name)) {
+      list = curl_slist_append(list, (std::string(name) + ":").c_str());
+    }
+  }
+  return list;
+}
+
+size_t OnHeader(char* aData, size_t aSize, size_t aCount, void* aResponse)
+{
+  const size_t bytes = aSize * aCount;
+  return static_cast<ResponseReader*>(aResponse)->AddHeaderLine({ aData, bytes }) ? bytes : 0;
+}
+
+size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aResponse)
+{
+  const size_t bytes = aSize * aCount;
+  return static_cast<ResponseReader*>(aResponse)->AddBody({ aData, bytes }) ? bytes : 0;
+}
+
+void SetMethod(CURL* aEasy, const UpstreamRequest& aRequest)
+{
+  const bool head = aRequest.method == "HEAD";
+  const bool hasBody = aRequest.body != nullptr && !aRequest.body->empty();
+  const bool expectsBody =
+    aRequest.method == "POST" || aRequest.method == "PUT" || aRequest.method == "PATCH";
+  curl_easy_setopt(aEasy, CURLOPT_NOBODY, 0L);
+  if (!head && (hasBody || expectsBody)) {
+    curl_easy_setopt(aEasy, CURLOPT_POST, 1L);
+    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, hasBody ? aRequest.body->data() : "");
+    curl_easy_setopt(aEasy,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(hasBody ? aRequest.body->size() : 0));
+  } else {
+    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, nullptr);
+    curl_easy_setopt(aEasy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(aEasy, CURLOPT_NOBODY, head ? 1L : 0L);
+  }
+  curl_easy_setopt(aEasy, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
+}
+
+} // namespace
+
+/// Options that are the same for all transfers of a handle.
+void SetFixedOptions(CURL* aEasy)
+{
+  curl_easy_setopt(aEasy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(aEasy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
+  curl_easy_setopt(aEasy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_NOPROGRESS, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(aEasy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt(aEasy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_BUFFERSIZE, kTransferBufferBytes);
+  curl_easy_setopt(aEasy, CURLOPT_UPLOAD_BUFFERSIZE, kTransferBufferBytes);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, OnBody);
+}
+
+UpstreamFailure ClassifyFailure(int aCode,
+                                const ResponseReader& aResponse,
+                                std::string_view aErrorText,
+                                bool aMaybeSent,
+                                bool aDeadlinePassed)
+{
+  if (aResponse.Failure() != ResponseReader::Problem::None) {
+    return aResponse.Failure() == ResponseReader::Problem::TooLarge ? UpstreamFailure::TooLarge
+                                                                    : UpstreamFailure::Protocol;
+  }
+  switch (aCode) {
+    case CURLE_OPERATION_TIMEDOUT:
+      return aMaybeSent || aDeadlinePassed ? UpstreamFailure::Timeout : UpstreamFailure::Connect;
+    case CURLE_COULDNT_CONNECT:
+      return aMaybeSent ? UpstreamFailure::Reset : UpstreamFailure::Connect;
+    case CURLE_OUT_OF_MEMORY: // Also curl's result for a header line over its own limit.
+      return UpstreamFailure::TooLarge;
+    case CURLE_OK:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_GOT_NOTHING:
+    case CURLE_SEND_ERROR:
+    case CURLE_RECV_ERROR:
+      if (aErrorText.find("chunked-encoding") != std::string_view::npos) {
+        return UpstreamFailure::Protocol;
+      }
+      return aResponse.HeadComplete() ? UpstreamFailure::Truncated : UpstreamFailure::Reset;
+    default:
+      return aMaybeSent ? UpstreamFailure::Protocol : UpstreamFailure::Connect;
+  }
+}
+
+curl_slist* SetRequest(void* aEasy, const UpstreamRequest& aRequest, ResponseReader& aResponse)
+{
+  curl_slist* fields = BuildHeaderList(aRequest);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, &aResponse);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, &aResponse);
+  curl_easy_setopt(aEasy, CURLOPT_URL, UrlOf(aRequest).c_str());
+  curl_easy_setopt(aEasy, CURLOPT_REQUEST_TARGET, aRequest.target.c_str());
+  curl_easy_setopt(aEasy, CURLOPT_HTTPHEADER, fields);
+  SetMethod(aEasy, aRequest);
+  return fields;
+}
+
+} // namespace bg::detail
--- /dev/null
+++ b/packages/upstream/src/response_reader.cpp
@@ -0,0 +1,243 @@
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <arpa/inet.h>
+
+#include "upstream_p.h"
+
+namespace bg {
+
+const std::string* FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (detail::EqualsIgnoreCase(header.name, aName)) {
+      return &header.value;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace bg
+
+namespace bg::detail {
+
+namespace {
+
+char ToLower(char aChar)
+{
+  return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar + ('a' - 'A')) : aChar;
+}
+
+std::string_view Trim(std::string_view aText)
+{
+  constexpr std::string_view kBlank = " \t\r\n";
+  const size_t first = aText.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kBlank) - first + 1);
+}
+
+/// True when the comma-separated list contains the token.
+bool ListContains(std::string_view aList, std::string_view aToken)
+{
+  while (!aList.empty()) {
+    const size_t comma = aList.find(',');
+    if (EqualsIgnoreCase(Trim(aList.substr(0, comma)), aToken)) {
+      return true;
+    }
+    aList = comma == std::string_view::npos ? std::string_view() : aList.substr(comma + 1);
+  }
+  return false;
+}
+
+bool IsToken(std::string_view aText)
+{
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [&](char aChar) {
+    const char lower = ToLower(aChar);
+    return (lower >= 'a' && lower <= 'z') || (aChar >= '0' && aChar <= '9') ||
+           kSymbols.find(aChar) != std::string_view::npos;
+  });
+}
+
+bool HasControl(std::string_view aText, bool aAllowTab)
+{
+  return std::any_of(aText.begin(), aText.end(), [&](char aChar) {
+    const auto byte = static_cast<unsigned char>(aChar);
+    return byte == 0x7f || (byte < 0x20 && !(aAllowTab && aChar == '\t'));
+  });
+}
+
+bool IsIpAddress(const std::string& aAddress)
+{
+  std::array<unsigned char, 16> bytes{};
+  return inet_pton(AF_INET, aAddress.c_str(), bytes.data()) == 1 ||
+         inet_pton(AF_INET6, aAddress.c_str(), bytes.data()) == 1;
+}
+
+} // namespace
+
+bool EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aOne, char aOther) {
+      return ToLower(aOne) == ToLower(aOther);
+    });
+}
+
+bool IsHopByHop(std::string_view aName, std::span<const HttpHeader> aHeaders)
+{
+  static constexpr std::array<std::string_view, 9> kNames = {
+    "connection", "keep-alive", "proxy-authenticate", "proxy-connection", "proxy-authorization",
+    "te",         "trailer",    "transfer-encoding",  "upgrade"
+  };
+  if (std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aFixed) {
+        return EqualsIgnoreCase(aName, aFixed);
+      })) {
+    return true;
+  }
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [&](const HttpHeader& aHeader) {
+    return EqualsIgnoreCase(aHeader.name, "connection") && ListContains(aHeader.value, aName);
+  });
+}
+
+std::string CheckRequest(const UpstreamRequest& aRequest)
+{
+  if (!IsIpAddress(aRequest.address) || aRequest.port == 0) {
+    return "address is not an IP address and port";
+  }
+  if (!IsToken(aRequest.method)) {
+    return "method is not a token";
+  }
+  if (aRequest.target.empty() || (aRequest.target.front() != '/' && aRequest.target != "*") ||
+      HasControl(aRequest.target, false) || aRequest.target.find(' ') != std::string::npos) {
+    return "target is not in origin form";
+  }
+  for (const HttpHeader& header : aRequest.headers) {
+    if (!IsToken(header.name) || HasControl(header.value, true)) {
+      return "header field is malformed";
+    }
+  }
+  return {};
+}
+
+void ResponseReader::Start(bool aHeadRequest, size_t aMaxBytes)
+{
+  *this = ResponseReader();
+  headRequest_ = aHeadRequest;
+  maxBytes_ = aMaxBytes;
+}
+
+bool ResponseReader::Fail(Problem aProblem)
+{
+  problem_ = aProblem;
+  return false;
+}
+
+bool ResponseReader::AddHeaderLine(std::string_view aLine)
+{
+  headBytes_ += aLine.size();
+  if (headBytes_ > kMaxHeaderBytes) {
+    return Fail(Problem::TooLarge);
+  }
+  if (headComplete_ && !Informational()) {
+    return true; // A trailer field; its connection ends here and nothing depends on it.
+  }
+  if (status_ == 0 || headComplete_) {
+    return StartHead(aLine);
+  }
+  if (Trim(aLine).empty()) {
+    return EndHead();
+  }
+  return AddField(aLine);
+}
+
+bool ResponseReader::StartHead(std::string_view aLine)
+{
+  const size_t space = aLine.find(' ');
+  if (!aLine.starts_with("HTTP/1.") || space == std::string_view::npos) {
+    return Fail(Problem::Malformed);
+  }
+  headers_.clear();
+  headComplete_ = false;
+  status_ = 0;
+  const std::string_view code = aLine.substr(space + 1, 3);
+  std::from_chars(code.data(), code.data() + code.size(), status_);
+  return status_ >= 100 && status_ <= 599 ? true : Fail(Problem::Malformed);
+}
+
+bool ResponseReader::AddField(std::string_view aLine)
+{
+  if (aLine.front() == ' ' || aLine.front() == '\t') {
+    if (headers_.empty()) {
+      return Fail(Problem::Malformed);
+    }
+    headers_.back().value += ' ';
+    headers_.back().value += Trim(aLine);
+    return true;
+  }
+  const size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos || !IsToken(aLine.substr(0, colon)) ||
+      HasControl(Trim(aLine.substr(colon + 1)), true) || headers_.size() == kMaxHeaderCount) {
+    return Fail(Problem::Malformed);
+  }
+  headers_.push_back(
+    { std::string(aLine.substr(0, colon)), std::string(Trim(aLine.substr(colon + 1))) });
+  return true;
+}
+
+bool ResponseReader::EndHead()
+{
+  headComplete_ = true;
+  const std::string* length = nullptr;
+  for (const HttpHeader& header : headers_) {
+    if (EqualsIgnoreCase(header.name, "transfer-encoding")) {
+      // Another coding would reach the caller undecoded and without its name.
+      if (chunked_ || !EqualsIgnoreCase(header.value, "chunked")) {
+        return Fail(Problem::Malformed);
+      }
+      chunked_ = true;
+    } else if (EqualsIgnoreCase(header.name, "content-length")) {
+      if (length != nullptr && *length != header.value) {
+        return Fail(Problem::Malformed);
+      }
+      length = &header.value;
+    }
+  }
+  hasLength_ = length != nullptr;
+  // Two statements of the length allow two readings of where the response ends (RFC 9112 6.3).
+  return chunked_ && hasLength_ ? Fail(Problem::Malformed) : true;
+}
+
+bool ResponseReader::LengthKnown() const
+{
+  return hasLength_ || chunked_ || headRequest_ || status_ == 204 || status_ == 304;
+}
+
+bool ResponseReader::AddBody(std::string_view aBytes)
+{
+  if (!HeadComplete()) {
+    return Fail(Problem::Malformed);
+  }
+  if (body_.size() + aBytes.size() > maxBytes_) {
+    return Fail(Problem::TooLarge);
+  }
+  body_.append(aBytes);
+  return true;
+}
+
+std::vector<HttpHeader> ResponseReader::TakeHeaders()
+{
+  std::vector<HttpHeader> kept;
+  kept.reserve(headers_.size());
+  for (const HttpHeader& header : headers_) {
+    if (!IsHopByHop(header.name, headers_)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+} // namespace bg::detail
--- /dev/null
+++ b/packages/upstream/src/socket_watch.cpp
@@ -0,0 +1,156 @@
+#include <arpa/inet.h>
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "upstream_p.h"
+
+namespace bg::detail {
+
+namespace {
+
+/// IP address and port of a socket address in host form.
+std::pair<std::string, uint16_t> HostForm(const sockaddr* aAddress)
+{
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (aAddress->sa_family == AF_INET6) {
+    const auto* v6 = reinterpret_cast<const sockaddr_in6*>(aAddress);
+    inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+    return { text.data(), ntohs(v6->sin6_port) };
+  }
+  const auto* v4 = reinterpret_cast<const sockaddr_in*>(aAddress);
+  inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+  return { text.data(), ntohs(v4->sin_port) };
+}
+
+uint16_t LocalPort(int aSocket)
+{
+  sockaddr_storage address{};
+  socklen_t size = sizeof address;
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  return ::getsockname(aSocket, generic, &size) == 0 ? HostForm(generic).second : 0;
+}
+
+class AsioSocketWatch
+  : public SocketWatch
+  , public std::enable_shared_from_this<AsioSocketWatch>
+{
+public:
+  AsioSocketWatch(asio::io_context& aContext,
+                  int aSocket,
+                  std::string aIp,
+                  uint16_t aPort,
+                  std::function<void(int, int)> aReady)
+    : descriptor_(aContext, aSocket)
+    , ip_(std::move(aIp))
+    , port_(aPort)
+    , ready_(std::move(aReady))
+  {
+  }
+
+  const std::string& Name() override
+  {
+    const uint16_t local = name_.empty() ? LocalPort(descriptor_.native_handle()) : 0;
+    if (local != 0) {
+      name_ = ConnectionName(ip_, port_, local);
+    }
+    return name_;
+  }
+
+  bool HasUnreadInput() override
+  {
+    char byte = 0;
+    return ::recv(descriptor_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+           (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  /// A pending wait is left alone when curl loses interest: its event is then ignored.
+  void SetInterest(int aWhat) override
+  {
+    interest_ = aWhat == CURL_POLL_REMOVE ? 0 : aWhat;
+    Arm();
+  }
+
+  void Close() override
+  {
+    closed_ = true;
+    ::close(descriptor_.release());
+  }
+
+private:
+  using Descriptor = asio::posix::stream_descriptor;
+
+  void Arm()
+  {
+    if (closed_) {
+      return;
+    }
+    if ((interest_ & CURL_POLL_IN) != 0 && !readPending_) {
+      readPending_ = true;
+      Wait(Descriptor::wait_read, CURL_CSELECT_IN, &AsioSocketWatch::readPending_);
+    }
+    if ((interest_ & CURL_POLL_OUT) != 0 && !writePending_) {
+      writePending_ = true;
+      Wait(Descriptor::wait_write, CURL_CSELECT_OUT, &AsioSocketWatch::writePending_);
+    }
+  }
+
+  void Wait(Descriptor::wait_type aType, int aEvent, bool AsioSocketWatch::*aFlag)
+  {
+    descriptor_.async_wait(
+      aType, [self = shared_from_this(), aEvent, aFlag](const std::error_code& aError) {
+        (*self).*aFlag = false;
+        if (!aError) {
+          self->Ready(aEvent);
+        }
+      });
+  }
+
+  void Ready(int aEvent)
+  {
+    const int wanted = aEvent == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
+    if (closed_ || (interest_ & wanted) == 0) {
+      return;
+    }
+    ready_(descriptor_.native_handle(), aEvent);
+    Arm();
+  }
+
+  Descriptor descriptor_;
+  std::string ip_;
+  uint16_t port_;
+  std::string name_;
+  std::function<void(int, int)> ready_;
+  int interest_ = 0;
+  bool readPending_ = false;
+  bool writePending_ = false;
+  bool closed_ = false;
+};
+
+} // namespace
+
+std::string ConnectionName(std::string_view aIp, int aPort, int aLocalPort)
+{
+  std::string name(aIp);
+  name += ' ';
+  name += std::to_string(aPort);
+  name += ' ';
+  name += std::to_string(aLocalPort);
+  return name;
+}
+
+std::shared_ptr<SocketWatch> WatchSocket(asio::io_context& aContext,
+                                         int aSocket,
+                                         const sockaddr* aPeer,
+                                         std::function<void(int, int)> aReady)
+{
+  auto [ip, port] = HostForm(aPeer);
+  return std::make_shared<AsioSocketWatch>(
+    aContext, aSocket, std::move(ip), port, std::move(aReady));
+}
+
+} // namespace bg::detail
