--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -31,7 +31,7 @@
 {
   std::string host;
   uint64_t incarnation = 0; ///< For example the start time in ms; never 0.
-  std::function<void(std::string_view aHost, std::string_view aBytes)> send;
+  std::function<void(std::string_view aHost, std::string_view aBytes)> send = nullptr;
 };
 
 /// Numbers and encodes the messages of this proxy.
@@ -69,14 +69,14 @@
 {
   PeerSender* sender = nullptr;
   Platform* platform = nullptr;
-  ClockHook now;
+  ClockHook now = nullptr;
   /// Fields of the own heartbeat, without heardIncarnation.
-  std::function<Heartbeat()> heartbeat;
+  std::function<Heartbeat()> heartbeat = nullptr;
   /// A peer appeared or moved, for PeerTransport::SetPeer.
-  std::function<void(const PeerInfo& aPeer)> onPeer;
-  std::function<void(std::string_view aHost)> onPeerRemoved;
+  std::function<void(const PeerInfo& aPeer)> onPeer = nullptr;
+  std::function<void(std::string_view aHost)> onPeerRemoved = nullptr;
   /// The whole host list, after each successful read.
-  std::function<void(const std::vector<HostEntry>& aHosts)> onHosts;
+  std::function<void(const std::vector<HostEntry>& aHosts)> onHosts = nullptr;
   Milliseconds heartbeatInterval{ 1000 };
   Milliseconds hostsInterval{ 1000 };
   Milliseconds peerTimeout{ 5000 }; ///< A peer not heard from for so long is not used.
@@ -125,13 +125,13 @@
 {
   PeerSender* sender = nullptr;
   Platform* platform = nullptr;
-  ClockHook now;
-  PeersHook livePeers;
+  ClockHook now = nullptr;
+  PeersHook livePeers = nullptr;
   /// Problem of a body whose digest is right; empty when it is valid.
-  std::function<std::string(std::string_view aBody)> validate;
+  std::function<std::string(std::string_view aBody)> validate = nullptr;
   std::function<void(uint64_t aRevision, const std::string& aDigest, const std::string& aBody)>
-    onAdopted;
-  RecordHook record;
+    onAdopted = nullptr;
+  RecordHook record = nullptr;
   Milliseconds pollInterval{ 1000 };
   Milliseconds maxBackoff{ 4000 };
   Milliseconds callDeadline{ 800 };
@@ -214,11 +214,11 @@
   std::string host;
   uint64_t incarnation = 0;
   Platform* platform = nullptr;
-  ClockHook now;
-  std::function<std::vector<std::string>()> services; ///< Configured services.
-  std::function<ServiceHealth(std::string_view aService)> health;
+  ClockHook now = nullptr;
+  std::function<std::vector<std::string>()> services = nullptr; ///< Configured services.
+  std::function<ServiceHealth(std::string_view aService)> health = nullptr;
   std::function<void(PermitEvent aEvent, const std::string& aService, const std::string& aUpstream)>
-    onEvent;
+    onEvent = nullptr;
   Milliseconds lease{ 6000 };
   Milliseconds renewAfter{ 2000 };
   Milliseconds removeAfterExpiry{ 1000 };
@@ -297,10 +297,10 @@
 struct ClaimStoreInit
 {
   Platform* platform = nullptr;
-  ClockHook now;
-  std::function<uint32_t()> retentionHours;
+  ClockHook now = nullptr;
+  std::function<uint32_t()> retentionHours = nullptr;
   /// Services whose old claims this proxy deletes, for example by rendezvous hash.
-  std::function<std::vector<std::string>()> sweptServices;
+  std::function<std::vector<std::string>()> sweptServices = nullptr;
   Milliseconds callDeadline{ 1000 };
   Milliseconds retryInterval{ 500 };    ///< Of outcomes and withdrawals.
   Milliseconds outcomeLimit{ 600000 };  ///< Outcomes not stored by then are given up.
@@ -364,9 +364,9 @@
 struct LeavingMarksInit
 {
   PeerSender* sender = nullptr;
-  PeersHook peers;
+  PeersHook peers = nullptr;
   /// A mark was set or has ended, for the routing snapshot.
-  std::function<void(const LeavingMark& aMark, bool aLeaving)> onChange;
+  std::function<void(const LeavingMark& aMark, bool aLeaving)> onChange = nullptr;
   Milliseconds markLifetime{ 60000 };
   /// A notice is repeated when signals continue, so that the marks of peers do not end.
   Milliseconds noticeInterval{ 20000 };
@@ -405,11 +405,11 @@
   PeerSender* sender = nullptr;
   std::string failureDomain;
   /// For example Membership::Aggregators(aUpstreamKey, 2, now); may include this proxy.
-  std::function<std::vector<std::string>(uint64_t aUpstreamKey)> aggregators;
-  PeersHook peers; ///< Recipients of verdicts.
+  std::function<std::vector<std::string>(uint64_t aUpstreamKey)> aggregators = nullptr;
+  PeersHook peers = nullptr; ///< Recipients of verdicts.
   /// Counts for which this proxy is an aggregator, its own included.
-  std::function<void(std::string_view aHost, const EvidenceReport& aReport)> onReport;
-  std::function<void(std::string_view aHost, const Verdict& aVerdict)> onVerdict;
+  std::function<void(std::string_view aHost, const EvidenceReport& aReport)> onReport = nullptr;
+  std::function<void(std::string_view aHost, const Verdict& aVerdict)> onVerdict = nullptr;
   Milliseconds reportInterval{ 200 };
   double bytesPerSecond = 3000;
   double burstBytes = 3000;
@@ -449,7 +449,7 @@
   uint64_t incarnation = 0;
   Platform* platform = nullptr;
   RecordRing* ring = nullptr;
-  std::function<int64_t()> wallClockMs;
+  std::function<int64_t()> wallClockMs = nullptr;
   Milliseconds interval{ 5000 };
   Milliseconds callDeadline{ 2000 };
   size_t batchLimit = 1000;
--- /dev/null
+++ b/packages/coordination/src/membership.cpp
@@ -0,0 +1,258 @@
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include "coordination_p.h"
+
+namespace bg {
+
+namespace {
+
+/// A lower incarnation is accepted when the higher one has not been heard from for so long: a
+/// host whose clock was set back while it restarted must not stay unknown for ever.
+constexpr Milliseconds kIncarnationHold{ 30000 };
+
+struct Peer
+{
+  PeerInfo info;
+  bool heard = false;
+  bool listed = false;
+  bool listedLeaving = false;
+  std::array<uint64_t, std::variant_size_v<PeerBody>> sequences{}; ///< Last one of each type.
+};
+
+} // namespace
+
+struct Membership::Impl : std::enable_shared_from_this<Membership::Impl>
+{
+  explicit Impl(MembershipInit aInit)
+    : init(std::move(aInit))
+  {
+  }
+
+  bool Live(const Peer& aPeer, TimePoint aNow) const
+  {
+    return aPeer.heard && aNow - aPeer.info.lastHeard < init.peerTimeout;
+  }
+
+  /// Evidence sent to a peer that does not hear this proxy would be lost.
+  bool Usable(const Peer& aPeer, TimePoint aNow) const
+  {
+    return Live(aPeer, aNow) && aPeer.info.port != 0 && aPeer.info.hearsUs &&
+           !aPeer.listedLeaving && aPeer.info.state == ProxyState::Ready;
+  }
+
+  void SendHeartbeats(TimePoint aNow)
+  {
+    Heartbeat heartbeat = init.heartbeat();
+    for (const auto& [host, peer] : peers) {
+      if (peer.info.port != 0) {
+        heartbeat.heardIncarnation = Live(peer, aNow) ? peer.info.incarnation : 0;
+        init.sender->Send(host, heartbeat);
+      }
+    }
+  }
+
+  void ReadHosts()
+  {
+    readingHosts = true;
+    init.platform->ListHosts(
+      init.hostsInterval,
+      detail::Guarded(shared_from_this(), [](Impl& aSelf, Result<std::vector<HostEntry>> aHosts) {
+        aSelf.readingHosts = false;
+        // Without the list the known peers stay: it lags anyway, and heartbeats decide on use.
+        if (aHosts) {
+          aSelf.UseHosts(*aHosts);
+        }
+      }));
+  }
+
+  void UseHosts(const std::vector<HostEntry>& aHosts)
+  {
+    for (auto& [host, peer] : peers) {
+      peer.listed = false;
+    }
+    for (const HostEntry& entry : aHosts) {
+      if (entry.role == HostRole::Proxy && entry.host != init.sender->Host()) {
+        UseEntry(entry);
+      }
+    }
+    detail::Notify(init.onHosts, aHosts);
+  }
+
+  void UseEntry(const HostEntry& aEntry)
+  {
+    if (!peers.contains(aEntry.host) && peers.size() >= kMaxPeers) {
+      return;
+    }
+    Peer& peer = peers[aEntry.host];
+    peer.listed = true;
+    peer.listedLeaving = aEntry.state == HostState::Leaving;
+    if (peer.info.failureDomain.empty()) {
+      peer.info.failureDomain = aEntry.failureDomain;
+    }
+    if (peer.info.address != aEntry.address || peer.info.port != aEntry.peerPort) {
+      peer.info.host = aEntry.host;
+      peer.info.address = aEntry.address;
+      peer.info.port = aEntry.peerPort;
+      detail::Notify(init.onPeer, peer.info);
+    }
+  }
+
+  void RemovePeers(TimePoint aNow)
+  {
+    for (auto peer = peers.begin(); peer != peers.end();) {
+      if (peer->second.listed || Live(peer->second, aNow)) {
+        ++peer;
+        continue;
+      }
+      const std::string host = peer->first;
+      peer = peers.erase(peer);
+      detail::Notify(init.onPeerRemoved, host);
+    }
+  }
+
+  bool Accept(const PeerMessage& aMessage, TimePoint aNow)
+  {
+    if (aMessage.sender == init.sender->Host() ||
+        (!peers.contains(aMessage.sender) && peers.size() >= kMaxPeers)) {
+      return false;
+    }
+    Peer& peer = peers[aMessage.sender];
+    const bool recent = peer.heard && aNow - peer.info.lastHeard < kIncarnationHold;
+    if (aMessage.incarnation < peer.info.incarnation && recent) {
+      return false;
+    }
+    if (aMessage.incarnation != peer.info.incarnation) {
+      peer.sequences.fill(0);
+      peer.info.hearsUs = false;
+    }
+    uint64_t& last = peer.sequences[aMessage.body.index()];
+    if (aMessage.sequence <= last) {
+      return false;
+    }
+    last = aMessage.sequence;
+    peer.info.host = aMessage.sender;
+    peer.info.incarnation = aMessage.incarnation;
+    peer.info.lastHeard = aNow;
+    peer.heard = true;
+    if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage.body)) {
+      UseHeartbeat(peer.info, *heartbeat);
+    }
+    return true;
+  }
+
+  void UseHeartbeat(PeerInfo& aPeer, const Heartbeat& aHeartbeat) const
+  {
+    aPeer.failureDomain = aHeartbeat.failureDomain;
+    aPeer.state = aHeartbeat.state;
+    aPeer.hearsUs = aHeartbeat.heardIncarnation == init.sender->Incarnation();
+    aPeer.revision = aHeartbeat.revision;
+  }
+
+  MembershipInit init;
+  MembershipStats stats;
+  std::map<std::string, Peer, std::less<>> peers;
+  TimePoint nextHeartbeat;
+  TimePoint nextHosts;
+  bool readingHosts = false;
+};
+
+Membership::Membership(MembershipInit aInit)
+  : impl_(std::make_shared<Impl>(std::move(aInit)))
+{
+}
+
+Membership::~Membership() = default;
+
+void Membership::Tick(TimePoint aNow)
+{
+  if (aNow >= impl_->nextHosts && !impl_->readingHosts) {
+    impl_->nextHosts = aNow + impl_->init.hostsInterval;
+    impl_->ReadHosts();
+  }
+  impl_->RemovePeers(aNow);
+  if (aNow >= impl_->nextHeartbeat) {
+    impl_->nextHeartbeat = aNow + impl_->init.heartbeatInterval;
+    impl_->SendHeartbeats(aNow);
+  }
+}
+
+std::optional<PeerMessage> Membership::Receive(std::string_view aBytes)
+{
+  ++impl_->stats.received;
+  auto message = DecodeMessage(aBytes);
+  if (!message) {
+    ++impl_->stats.malformed;
+    Log(LogLevel::Debug, "peer_message_refused", { { "reason", ToString(message.Failure()) } });
+    return std::nullopt;
+  }
+  if (!impl_->Accept(*message, impl_->init.now())) {
+    ++impl_->stats.outdated;
+    return std::nullopt;
+  }
+  return std::move(*message);
+}
+
+std::vector<std::string> Membership::Peers() const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : impl_->peers) {
+    if (peer.info.port != 0) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+std::vector<std::string> Membership::LivePeers(TimePoint aNow) const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : impl_->peers) {
+    if (impl_->Live(peer, aNow)) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+std::optional<PeerInfo> Membership::Find(std::string_view aHost) const
+{
+  const auto found = impl_->peers.find(aHost);
+  return found == impl_->peers.end() ? std::nullopt : std::optional(found->second.info);
+}
+
+std::vector<std::string> Membership::Aggregators(uint64_t aUpstreamKey,
+                                                 size_t aCount,
+                                                 TimePoint aNow) const
+{
+  const std::string& self = impl_->init.sender->Host();
+  std::vector<std::pair<uint64_t, std::string_view>> scores{ { Hash64(self, aUpstreamKey), self } };
+  for (const auto& [host, peer] : impl_->peers) {
+    if (impl_->Usable(peer, aNow)) {
+      scores.emplace_back(Hash64(host, aUpstreamKey), host);
+    }
+  }
+  const size_t count = std::min(aCount, scores.size());
+  std::partial_sort(scores.begin(),
+                    scores.begin() + static_cast<std::ptrdiff_t>(count),
+                    scores.end(),
+                    std::greater<>());
+  std::vector<std::string> hosts;
+  for (size_t i = 0; i < count; ++i) {
+    hosts.emplace_back(scores[i].second);
+  }
+  return hosts;
+}
+
+std::string Membership::HealthReader(uint64_t aUpstreamKey, TimePoint aNow) const
+{
+  return Aggregators(aUpstreamKey, 1, aNow).front();
+}
+
+const MembershipStats& Membership::Stats() const
+{
+  return impl_->stats;
+}
+
+} // namespace bg
