--- a/packages/httpd/include/boragegauge/httpd.h
+++ b/packages/httpd/include/boragegauge/httpd.h
@@ -22,8 +22,8 @@
 struct HttpResponse
 {
   int status = 200;
-  std::vector<HttpHeader> headers; ///< Content-Length is added by the server.
-  std::string body;
+  std::vector<HttpHeader> headers{}; ///< Content-Length is added by the server.
+  std::string body{};
 };
 
 /// Answers one request, once; later calls are ignored. Loop thread only.
@@ -54,7 +54,7 @@
   bool reusePort = false; ///< Several servers, one per traffic thread, share the port.
   size_t maxBodyBytes = 1UL << 20;
   Duration idleTimeout = std::chrono::seconds(60);
-  std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> handler;
+  std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> handler{};
 };
 
 /// HTTP/1.1 server. Refuses requests with several or no Host headers, folded header lines,
