Add an HTTP server on Asio for the callers' side

Cause: RESTinio closes the connection without a status on bodies over the limit and on malformed HTTP, ignores Expect (an upload then waits 1 s) and joins folded header lines.

Ruled out: http_parser for chunked bodies, since its library is built without the strict checks.

Change: HttpServerInit::backend selects Asio (default) or RESTinio. The Asio back end checks the raw head (CRLF, folding, limits), decodes chunks strictly, answers 100 Continue, 400, 408, 413, 414, 417, 431, 501, 503 (byte budget) and 505, handles one request at a time and reads on for 2 s after its last response.

--- a/packages/httpd/include/boragegauge/httpd.h
+++ b/packages/httpd/include/boragegauge/httpd.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,43 @@
   virtual void OnCallerGone(std::function<void()> aCallback) = 0;
 };
 
+/// Bounds the bytes of request bodies in memory; shared by the servers of a process. Thread-safe.
+class ByteBudget
+{
+public:
+  explicit ByteBudget(size_t aLimit)
+    : limit_(aLimit)
+  {
+  }
+
+  /// False, and nothing is added, when the limit would be exceeded.
+  bool TryAdd(size_t aBytes)
+  {
+    if (used_.fetch_add(aBytes) + aBytes <= limit_) {
+      return true;
+    }
+    used_ -= aBytes;
+    return false;
+  }
+  void Remove(size_t aBytes) { used_ -= aBytes; }
+  size_t Used() const { return used_; }
+
+private:
+  const size_t limit_;
+  std::atomic<size_t> used_ = 0;
+};
+
+enum class HttpBackend
+{
+  /// Answers every refusal with a status and Expect with "100 Continue"; for callers.
+  Asio,
+  /// Closes the connection without a status on bodies over the limit and on malformed HTTP, joins
+  /// folded header lines, ignores Expect, and has no byte budget; for the admin address.
+  Restinio,
+
+  Count
+};
+
 struct HttpServerStats
 {
   uint64_t connections = 0; ///< Open now.
@@ -53,7 +91,11 @@
   uint16_t port = 0;      ///< 0: chosen by the system.
   bool reusePort = false; ///< Several servers, one per traffic thread, share the port.
   size_t maxBodyBytes = 1UL << 20;
-  Duration idleTimeout = std::chrono::seconds(60);
+  HttpBackend backend = HttpBackend::Asio;
+  std::shared_ptr<ByteBudget> budget{}; ///< Requests over it are answered with 503; null: no limit.
+  Duration idleTimeout = std::chrono::seconds(60); ///< Between two requests.
+  Duration headTimeout = std::chrono::seconds(10); ///< For a head after its first byte.
+  Duration bodyTimeout = std::chrono::seconds(30); ///< Without progress in a body or a response.
   std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> handler{};
 };
 
--- /dev/null
+++ b/packages/httpd/src/asio_connection.cpp
@@ -0,0 +1,413 @@
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+
+#include "asio_server_p.h"
+
+namespace bg {
+
+namespace {
+
+using namespace detail;
+using asio::ip::tcp;
+
+/// Reads after which other connections get their turn.
+constexpr int kReadsPerEvent = 4;
+
+/// Bytes of following requests that are kept while one is handled.
+constexpr size_t kMaxPipelinedBytes = 64UL << 10;
+
+/// After the last response the connection is read for this long, so that the close does not
+/// discard a response that the caller has not read yet.
+constexpr auto kLingerTime = std::chrono::seconds(2);
+constexpr size_t kMaxLingerBytes = 16UL << 20;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+class Connection;
+
+class AsioReply : public HttpReply
+{
+public:
+  explicit AsioReply(std::shared_ptr<Connection> aConnection)
+    : connection_(std::move(aConnection))
+  {
+  }
+  /// Without this a handler that forgets to answer would hold the caller for ever.
+  ~AsioReply() override { AsioReply::Abort(); }
+  AsioReply(const AsioReply&) = delete;
+  AsioReply& operator=(const AsioReply&) = delete;
+
+  void Send(HttpResponse aResponse) override;
+  void Abort() override;
+  void OnCallerGone(std::function<void()> aCallback) override { onGone_ = std::move(aCallback); }
+
+  void CallerGone(bool aNotify)
+  {
+    connection_.reset();
+    const auto callback = std::exchange(onGone_, nullptr);
+    if (callback && aNotify) {
+      callback();
+    }
+  }
+
+private:
+  std::shared_ptr<Connection> connection_; ///< Null when answered or gone.
+  std::function<void()> onGone_;
+};
+
+/// One caller's connection; handles one request at a time.
+class Connection
+  : public CallerConnection
+  , public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(std::shared_ptr<ConnectionContext> aState, tcp::socket aSocket)
+    : state_(std::move(aState))
+    , socket_(std::move(aSocket))
+    , timer_(socket_.get_executor())
+    , reader_(state_->init.maxBodyBytes, state_->init.budget)
+  {
+  }
+
+  void Start(Duration aIdleTimeout)
+  {
+    std::error_code error;
+    socket_.non_blocking(true, error);
+    socket_.set_option(tcp::no_delay(true), error);
+    remoteAddress_ = socket_.remote_endpoint(error).address().to_string();
+    state_->connections.emplace(this, weak_from_this());
+    ++state_->stats.connections;
+    SetDeadline(aIdleTimeout);
+    WaitRead();
+  }
+
+  void Respond(HttpResponse aResponse);
+
+  void StopIfIdle() override
+  {
+    std::error_code error;
+    if (phase_ == Phase::Reading && !reader_.Pending() && socket_.available(error) == 0) {
+      Close(true);
+    }
+  }
+
+  void Close(bool aNotify) override;
+
+private:
+  enum class Phase
+  {
+    Reading,
+    Handling,
+    Writing,
+    Lingering,
+    Closed,
+
+    Count
+  };
+
+  void SetDeadline(Duration aTime)
+  {
+    deadline_ = Now() + aTime;
+    ArmTimer();
+  }
+
+  void ArmTimer();
+  void DeadlinePassed();
+  void WaitRead();
+  void ReadInput();
+  void Received(std::string_view aBytes);
+  void PeerClosed(bool aReset);
+  void Advance(RequestReader::Status aStatus);
+  void Dispatch();
+  void Refuse(const Refusal& aRefusal);
+  void Write(HttpResponse aResponse, bool aClose);
+  void Written(const std::error_code& aError);
+  void Linger();
+
+  bool InputFull() const
+  {
+    return (phase_ == Phase::Handling || phase_ == Phase::Writing) &&
+           reader_.HeldBytes() >= kMaxPipelinedBytes;
+  }
+
+  std::shared_ptr<ConnectionContext> state_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  TimePoint deadline_ = TimePoint::max();
+  TimePoint timerExpiry_ = TimePoint::max();
+  std::string remoteAddress_;
+  Phase phase_ = Phase::Reading;
+  bool headStarted_ = false;
+  bool waiting_ = false;
+  bool peerFinished_ = false;
+  bool closeAfterWrite_ = false;
+  size_t lingered_ = 0;
+  RequestReader reader_;
+  std::weak_ptr<AsioReply> reply_;
+  std::string responseHead_;
+  std::string responseBody_;
+};
+
+void AsioReply::Send(HttpResponse aResponse)
+{
+  if (const auto connection = std::exchange(connection_, nullptr)) {
+    onGone_ = nullptr;
+    connection->Respond(std::move(aResponse));
+  }
+}
+
+void AsioReply::Abort()
+{
+  if (const auto connection = std::exchange(connection_, nullptr)) {
+    onGone_ = nullptr;
+    connection->Close(false);
+  }
+}
+
+/// Only an earlier deadline moves the timer; a later one is looked at when the timer expires.
+void Connection::ArmTimer()
+{
+  if (deadline_ >= timerExpiry_) {
+    return;
+  }
+  timerExpiry_ = deadline_;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([self = shared_from_this()](const std::error_code& aError) {
+    if (aError || self->phase_ == Phase::Closed) {
+      return;
+    }
+    self->timerExpiry_ = TimePoint::max();
+    if (Now() >= self->deadline_) {
+      self->DeadlinePassed();
+    } else {
+      self->ArmTimer();
+    }
+  });
+}
+
+void Connection::DeadlinePassed()
+{
+  if (phase_ == Phase::Reading && reader_.Pending()) {
+    Refuse({ 408, "request did not arrive in time" });
+  } else {
+    Close(true);
+  }
+}
+
+void Connection::WaitRead()
+{
+  if (waiting_ || peerFinished_ || phase_ == Phase::Closed || InputFull()) {
+    return;
+  }
+  waiting_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const std::error_code& aError) {
+                       self->waiting_ = false;
+                       if (!aError && self->phase_ != Phase::Closed) {
+                         self->ReadInput();
+                       }
+                     });
+}
+
+void Connection::ReadInput()
+{
+  auto& buffer = state_->readBuffer;
+  for (int i = 0; i < kReadsPerEvent && !InputFull(); ++i) {
+    std::error_code error;
+    const size_t size = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block) {
+      break;
+    }
+    if (error) {
+      PeerClosed(error != asio::error::eof);
+      return;
+    }
+    Received({ buffer.data(), size });
+    if (phase_ == Phase::Closed) {
+      return;
+    }
+    if (size < buffer.size()) {
+      break;
+    }
+  }
+  WaitRead();
+}
+
+void Connection::PeerClosed(bool aReset)
+{
+  // A caller that only ends its own direction still gets a response that has been started.
+  if (phase_ == Phase::Writing && !aReset) {
+    peerFinished_ = true;
+    return;
+  }
+  Close(true);
+}
+
+void Connection::Received(std::string_view aBytes)
+{
+  if (phase_ == Phase::Lingering) {
+    lingered_ += aBytes.size();
+    if (lingered_ > kMaxLingerBytes) {
+      Close(true);
+    }
+    return;
+  }
+  if (phase_ == Phase::Reading) {
+    Advance(reader_.Feed(aBytes));
+  } else {
+    reader_.Hold(aBytes);
+  }
+}
+
+/// Acts on what the reader found in the bytes received so far.
+void Connection::Advance(RequestReader::Status aStatus)
+{
+  switch (aStatus) {
+    case RequestReader::Status::Complete:
+      Dispatch();
+      return;
+    case RequestReader::Status::Refused:
+      Refuse(reader_.Problem());
+      return;
+    default:
+      break;
+  }
+  if (reader_.TakeContinue()) {
+    // The send buffer is empty here. Should the write fail, the next read reports it.
+    std::error_code ignored;
+    socket_.write_some(asio::const_buffer(kContinue.data(), kContinue.size()), ignored);
+  }
+  if (reader_.InBody()) {
+    SetDeadline(state_->init.bodyTimeout);
+  } else if (reader_.Pending() && !headStarted_) {
+    headStarted_ = true;
+    SetDeadline(state_->init.headTimeout);
+  }
+}
+
+void Connection::Dispatch()
+{
+  phase_ = Phase::Handling;
+  deadline_ = TimePoint::max();
+  ++state_->stats.requests;
+  ++state_->stats.inFlight;
+  auto reply = std::make_shared<AsioReply>(shared_from_this());
+  reply_ = reply;
+  HttpRequest request = reader_.TakeRequest();
+  request.remoteAddress = remoteAddress_;
+  state_->init.handler(std::move(request), std::move(reply));
+}
+
+void Connection::Refuse(const Refusal& aRefusal)
+{
+  ++state_->stats.rejected;
+  LogRefusal(aRefusal, remoteAddress_);
+  Write(MakeRefusal(aRefusal, reader_.Head().headers), true);
+}
+
+void Connection::Respond(HttpResponse aResponse)
+{
+  if (phase_ != Phase::Handling) {
+    return;
+  }
+  --state_->stats.inFlight;
+  Write(std::move(aResponse), state_->stopping || !reader_.Head().keepAlive);
+}
+
+void Connection::Write(HttpResponse aResponse, bool aClose)
+{
+  const bool head = reader_.Head().method == "HEAD";
+  phase_ = Phase::Writing;
+  closeAfterWrite_ = aClose;
+  responseHead_ = FormatHead(aResponse, head, aClose);
+  responseBody_ = head || !HasBody(aResponse.status) ? std::string() : std::move(aResponse.body);
+  SetDeadline(state_->init.bodyTimeout);
+  const std::array<asio::const_buffer, 2> buffers = { asio::buffer(responseHead_),
+                                                      asio::buffer(responseBody_) };
+  asio::async_write(
+    socket_,
+    buffers,
+    [self = shared_from_this()](const std::error_code& aError, size_t aSize) {
+      self->deadline_ = Now() + self->state_->init.bodyTimeout;
+      return asio::transfer_all()(aError, aSize);
+    },
+    [self = shared_from_this()](const std::error_code& aError, size_t) {
+      if (self->phase_ != Phase::Closed) {
+        self->Written(aError);
+      }
+    });
+}
+
+void Connection::Written(const std::error_code& aError)
+{
+  responseBody_ = {};
+  if (aError || peerFinished_) {
+    Close(true);
+    return;
+  }
+  if (closeAfterWrite_) {
+    Linger();
+    return;
+  }
+  phase_ = Phase::Reading;
+  headStarted_ = false;
+  reader_.StartNext();
+  SetDeadline(state_->init.idleTimeout);
+  if (state_->stopping) {
+    StopIfIdle();
+  }
+  if (reader_.Pending()) {
+    Advance(reader_.Feed({}));
+  }
+  WaitRead();
+}
+
+void Connection::Linger()
+{
+  std::error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  phase_ = Phase::Lingering;
+  SetDeadline(kLingerTime);
+  WaitRead();
+}
+
+void Connection::Close(bool aNotify)
+{
+  if (phase_ == Phase::Closed) {
+    return;
+  }
+  const bool handling = phase_ == Phase::Handling;
+  phase_ = Phase::Closed;
+  std::error_code error;
+  socket_.close(error);
+  timer_.cancel();
+  state_->connections.erase(this);
+  --state_->stats.connections;
+  if (handling) {
+    --state_->stats.inFlight;
+    if (const auto reply = reply_.lock()) {
+      reply->CallerGone(aNotify);
+    }
+  }
+}
+
+} // namespace
+
+namespace detail {
+
+void OpenConnection(std::shared_ptr<ConnectionContext> aContext,
+                    int aSocket,
+                    bool aIsV6,
+                    Duration aIdleTimeout)
+{
+  tcp::socket socket(aContext->init.loop->Context(), aIsV6 ? tcp::v6() : tcp::v4(), aSocket);
+  std::make_shared<Connection>(std::move(aContext), std::move(socket))->Start(aIdleTimeout);
+}
+
+} // namespace detail
+
+} // namespace bg
--- /dev/null
+++ b/packages/httpd/src/asio_server_p.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <array>
+#include <unordered_map>
+
+#include "httpd_p.h"
+
+namespace bg::detail {
+
+/// Strict decoder of the chunked transfer coding (RFC 9112 section 7.1): line ends are CRLF and
+/// nothing but CRLF follows the data of a chunk. Trailer fields are dropped.
+class ChunkDecoder
+{
+public:
+  /// Takes bytes from the front of the input and returns the next piece of body; an empty piece
+  /// means that all input was taken, or that the body is done or invalid.
+  std::string_view Feed(std::string_view& aInput);
+
+  bool Done() const { return state_ == State::Done; }
+  bool Invalid() const { return state_ == State::Invalid; }
+
+private:
+  enum class State
+  {
+    Size,
+    Data,
+    DataEnd,
+    Trailer,
+    Done,
+    Invalid,
+
+    Count
+  };
+
+  void EndLine();
+  bool ParseSize(std::string_view aLine);
+
+  State state_ = State::Size;
+  uint64_t left_ = 0;
+  std::string line_;
+};
+
+/// A parsed request head.
+struct ParsedHead
+{
+  std::string method;
+  std::string target;
+  std::vector<HttpHeader> headers;
+  bool keepAlive = false;
+  bool chunked = false;
+  bool expectsContinue = false;
+  uint64_t contentLength = 0;
+};
+
+/// Looks for the end of a request head.
+/// @param aScanned Bytes that earlier calls have checked; updated.
+/// @param aEnd Set to the size of the head including the empty line, 0 while it is incomplete.
+/// @returns A refusal as soon as the bytes cannot become an acceptable head: bare CR or LF, folded
+/// lines, NUL, lines or sections over the limits.
+std::optional<Refusal> ScanHead(std::string_view aBytes, size_t& aScanned, size_t& aEnd);
+
+/// Parses a complete head and checks it with CheckHead(). The head is filled as far as it was
+/// parsed, so that a refusal can carry the caller's request id.
+std::optional<Refusal> ParseHead(std::string_view aBytes, ParsedHead& aHead);
+
+/// A request body that returns its bytes to the budget when its last user is gone.
+class BudgetedBody
+{
+public:
+  explicit BudgetedBody(std::shared_ptr<ByteBudget> aBudget);
+  ~BudgetedBody();
+  BudgetedBody(const BudgetedBody&) = delete;
+  BudgetedBody& operator=(const BudgetedBody&) = delete;
+
+  [[nodiscard]] bool Reserve(size_t aBytes);
+
+  std::string bytes;
+
+private:
+  std::shared_ptr<ByteBudget> budget_;
+  size_t reserved_ = 0;
+};
+
+/// Turns the bytes of one connection into requests, one at a time. It has no socket and no clock.
+class RequestReader
+{
+public:
+  enum class Status
+  {
+    Incomplete,
+    Complete,
+    Refused, ///< The connection cannot be used for further requests.
+
+    Count
+  };
+
+  RequestReader(size_t aMaxBodyBytes, std::shared_ptr<ByteBudget> aBudget);
+
+  /// Takes bytes of the current request; call again with no bytes after StartNext().
+  Status Feed(std::string_view aBytes);
+
+  /// Keeps bytes of later requests.
+  void Hold(std::string_view aBytes) { input_.append(aBytes); }
+
+  /// True once when the caller waits for "100 Continue".
+  bool TakeContinue() { return std::exchange(wantsContinue_, false); }
+
+  /// Valid after Complete: everything but the remote address.
+  HttpRequest TakeRequest();
+
+  /// Prepares for the request after the one that was taken.
+  void StartNext();
+
+  bool InBody() const { return body_ != nullptr; }
+  /// Bytes of an incomplete or a later request have arrived.
+  bool Pending() const { return InBody() || !input_.empty(); }
+  size_t HeldBytes() const { return input_.size(); }
+  const ParsedHead& Head() const { return head_; }
+  const Refusal& Problem() const { return problem_; }
+
+private:
+  Status Refuse(const Refusal& aRefusal);
+  Status ReadHead();
+  Status StartBody();
+  Status ReadBody(std::string_view aBytes);
+  Status ReadChunks(std::string_view& aBytes);
+
+  size_t maxBodyBytes_;
+  std::shared_ptr<ByteBudget> budget_;
+  std::string input_;  ///< Received bytes that no request has taken yet.
+  size_t scanned_ = 0; ///< See ScanHead().
+  bool wantsContinue_ = false;
+  Refusal problem_;
+  ParsedHead head_;
+  ChunkDecoder chunks_;
+  std::shared_ptr<BudgetedBody> body_; ///< Set from the end of the head on.
+};
+
+/// Status line and header section of a response.
+/// @param aHeadRequest The response has no body; a Content-Length of the handler is kept.
+std::string FormatHead(const HttpResponse& aResponse, bool aHeadRequest, bool aClose);
+
+/// True when a response with this status has a body.
+bool HasBody(int aStatus);
+
+class CallerConnection
+{
+public:
+  virtual ~CallerConnection() = default;
+  /// Closes a connection without a request; one whose next request has arrived is served.
+  virtual void StopIfIdle() = 0;
+  /// @param aNotify Tells the handler of a request in flight that its caller has gone.
+  virtual void Close(bool aNotify) = 0;
+};
+
+/// Read buffer of a server, shared by its connections, in bytes.
+constexpr size_t kReadBufferBytes = 64UL << 10;
+
+/// What a server and its connections share; connections keep it alive.
+struct ConnectionContext
+{
+  explicit ConnectionContext(HttpServerInit aInit)
+    : init(std::move(aInit))
+  {
+  }
+
+  HttpServerInit init;
+  HttpServerStats stats;
+  bool stopping = false;
+  std::array<char, kReadBufferBytes> readBuffer{};
+  std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> connections;
+};
+
+/// Takes ownership of an accepted, non-blocking socket. The connection keeps itself alive.
+void OpenConnection(std::shared_ptr<ConnectionContext> aContext,
+                    int aSocket,
+                    bool aIsV6,
+                    Duration aIdleTimeout);
+
+Result<std::unique_ptr<HttpServer>> CreateAsioServer(HttpServerInit aInit);
+
+} // namespace bg::detail
--- a/packages/httpd/src/restinio_server.cpp
+++ b/packages/httpd/src/restinio_server.cpp
@@ -280,9 +280,4 @@
 
 } // namespace detail
 
-Result<std::unique_ptr<HttpServer>> CreateHttpServer(HttpServerInit aInit)
-{
-  return detail::CreateRestinioServer(std::move(aInit));
-}
-
 } // namespace bg
--- a/packages/httpd/tests/httpd_test.cpp
+++ b/packages/httpd/tests/httpd_test.cpp
@@ -5,10 +5,30 @@
 using namespace bg;
 using namespace bg::test;
 
+namespace {
+
+/// Runs the rest of the test case once for each back end.
+HttpBackend ChooseBackend()
+{
+  HttpBackend backend = HttpBackend::Asio;
+  SUBCASE("Asio")
+  {
+    backend = HttpBackend::Asio;
+  }
+  SUBCASE("RESTinio")
+  {
+    backend = HttpBackend::Restinio;
+  }
+  return backend;
+}
+
+} // namespace
+
 TEST_CASE("bodies pass byte for byte in both directions")
 {
+  const HttpBackend backend = ChooseBackend();
   // Guards against lost bytes and wrong lengths at buffer boundaries.
-  ServerFixture server(Echo, { .maxBodyBytes = 2UL << 20 });
+  ServerFixture server(Echo, { .maxBodyBytes = 2UL << 20, .backend = backend });
   const auto connection = RawConnection::Connect(server.port);
   for (const size_t size : { 0UL, 1UL, 4095UL, 65536UL, 65537UL, 1UL << 20 }) {
     CAPTURE(size);
@@ -25,12 +45,15 @@
 
 TEST_CASE("requests that two programs could read differently are refused")
 {
+  const HttpBackend backend = ChooseBackend();
   // Guards against request smuggling: such a request must not reach the handler.
   std::atomic<int> handled = 0;
-  ServerFixture server([&](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
-    ++handled;
-    Echo(aRequest, aReply);
-  });
+  ServerFixture server(
+    [&](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+      ++handled;
+      Echo(aRequest, aReply);
+    },
+    { .backend = backend });
   struct Case
   {
     const char* request;
@@ -68,18 +91,21 @@
 
 TEST_CASE("a handler cannot break the framing of its response")
 {
+  const HttpBackend backend = ChooseBackend();
   // Guards against header injection from an upstream's fields and against two lengths.
-  ServerFixture server([](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
-    const HttpResponse response{ .status = 200,
-                                 .headers = { { "Content-Length", "99" },
-                                              { "Transfer-Encoding", "chunked" },
-                                              { "Connection", "close" },
-                                              { "X-Bad", "a\r\nX-Evil: b" },
-                                              { "X-Good", "1" } },
-                                 .body = "abc" };
-    aReply->Send(response);
-    aReply->Send({ .status = 500, .headers = {}, .body = "second" });
-  });
+  ServerFixture server(
+    [](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+      const HttpResponse response{ .status = 200,
+                                   .headers = { { "Content-Length", "99" },
+                                                { "Transfer-Encoding", "chunked" },
+                                                { "Connection", "close" },
+                                                { "X-Bad", "a\r\nX-Evil: b" },
+                                                { "X-Good", "1" } },
+                                   .body = "abc" };
+      aReply->Send(response);
+      aReply->Send({ .status = 500, .headers = {}, .body = "second" });
+    },
+    { .backend = backend });
   const std::string response = server.Ask("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK(response.ends_with("\r\n\r\nabc"));
   CHECK(response.find("X-Good: 1\r\n") != std::string::npos);
@@ -90,15 +116,18 @@
 
 TEST_CASE("the handler learns that its caller has gone")
 {
+  const HttpBackend backend = ChooseBackend();
   // Guards against work that goes on for a caller that will not read the response.
   Signal handling;
   Signal gone;
   std::shared_ptr<HttpReply> held;
-  ServerFixture server([&](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
-    aReply->OnCallerGone([&] { gone.Set(); });
-    held = aReply;
-    handling.Set();
-  });
+  ServerFixture server(
+    [&](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+      aReply->OnCallerGone([&] { gone.Set(); });
+      held = aReply;
+      handling.Set();
+    },
+    { .backend = backend });
   auto connection = RawConnection::Connect(server.port);
   connection->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   REQUIRE(handling.Wait());
@@ -114,13 +143,16 @@
 
 TEST_CASE("a graceful stop finishes the request in flight")
 {
+  const HttpBackend backend = ChooseBackend();
   // Guards against a shutdown that cuts off a response.
   Signal handling;
   std::shared_ptr<HttpReply> held;
-  ServerFixture server([&](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
-    held = aReply;
-    handling.Set();
-  });
+  ServerFixture server(
+    [&](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+      held = aReply;
+      handling.Set();
+    },
+    { .backend = backend });
   const auto connection = RawConnection::Connect(server.port);
   connection->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   REQUIRE(handling.Wait());
@@ -134,11 +166,12 @@
 
 TEST_CASE("an address in use is reported with step and peer")
 {
-  ServerFixture server(Echo);
+  const HttpBackend backend = ChooseBackend();
+  ServerFixture server(Echo, { .backend = backend });
   Error error;
   server.loop.Call([&] {
-    const auto second =
-      CreateHttpServer({ .loop = &server.loop.Loop(), .port = server.port, .handler = Echo });
+    const auto second = CreateHttpServer(
+      { .loop = &server.loop.Loop(), .port = server.port, .backend = backend, .handler = Echo });
     REQUIRE_FALSE(second);
     error = second.Failure();
   });
