Let a new proxy join through seeds while the platform is unavailable

Cause: peers were known only from the platform's host list, so a host replaced during an outage could neither join nor get the configuration from a peer. Ruled out: stating the address in every heartbeat (73 bytes; 47 a second exceed 3 KB/s, as the size test showed). Change: heartbeats state the sender's address until the peer hears it; a live peer's own statement goes before the host list; MembershipInit::seeds receive heartbeats while nobody is heard.

--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -65,6 +65,13 @@
   uint64_t revision = 0;
 };
 
+/// A peer whose host name is not known yet.
+struct SeedAddress
+{
+  std::string address; ///< IP address.
+  uint16_t port = 0;
+};
+
 struct MembershipInit
 {
   PeerSender* sender = nullptr;
@@ -77,6 +84,8 @@
   std::function<void(std::string_view aHost)> onPeerRemoved = nullptr;
   /// The whole host list, after each successful read.
   std::function<void(const std::vector<HostEntry>& aHosts)> onHosts = nullptr;
+  /// Addresses to which heartbeats go while no peer is heard, for a start without the host list.
+  std::vector<SeedAddress> seeds;
   Milliseconds heartbeatInterval{ 1000 };
   Milliseconds hostsInterval{ 1000 };
   Milliseconds peerTimeout{ 5000 }; ///< A peer not heard from for so long is not used.
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -18,6 +18,7 @@
   bool heard = false;
   bool listed = false;
   bool listedLeaving = false;
+  bool statedAddress = false; ///< The address comes from the peer's own heartbeat.
   std::array<uint64_t, std::variant_size_v<PeerBody>> sequences{}; ///< Last one of each type.
 };
 
@@ -42,11 +43,24 @@
            !aPeer.listedLeaving && aPeer.info.state == ProxyState::Ready;
   }
 
+  /// The own address goes only to peers that do not hear this proxy yet, which keeps the steady
+  /// traffic within its budget.
   void SendHeartbeats(TimePoint aNow)
   {
     Heartbeat heartbeat = init.heartbeat();
+    const bool hearsNobody = std::none_of(
+      peers.begin(), peers.end(), [&](const auto& aEntry) { return Live(aEntry.second, aNow); });
+    if (hearsNobody) {
+      SendToSeeds(heartbeat);
+    }
+    Heartbeat introduction = heartbeat;
+    heartbeat.address.clear();
+    heartbeat.port = 0;
     for (const auto& [host, peer] : peers) {
-      if (peer.info.port != 0) {
+      if (peer.info.port != 0 && !peer.info.hearsUs) {
+        introduction.heardIncarnation = Live(peer, aNow) ? peer.info.incarnation : 0;
+        init.sender->Send(host, introduction);
+      } else if (peer.info.port != 0) {
         heartbeat.heardIncarnation = Live(peer, aNow) ? peer.info.incarnation : 0;
         init.sender->Send(host, heartbeat);
       }
@@ -91,11 +105,33 @@
     if (peer.info.failureDomain.empty()) {
       peer.info.failureDomain = aEntry.failureDomain;
     }
-    if (peer.info.address != aEntry.address || peer.info.port != aEntry.peerPort) {
-      peer.info.host = aEntry.host;
-      peer.info.address = aEntry.address;
-      peer.info.port = aEntry.peerPort;
-      detail::Notify(init.onPeer, peer.info);
+    peer.info.host = aEntry.host;
+    // What a live peer says of itself is newer than the list, which lags.
+    if (!peer.statedAddress || !Live(peer, init.now())) {
+      peer.statedAddress = false;
+      UseAddress(peer.info, aEntry.address, aEntry.peerPort);
+    }
+  }
+
+  void UseAddress(PeerInfo& aPeer, const std::string& aAddress, uint16_t aPort)
+  {
+    if (aPeer.address != aAddress || aPeer.port != aPort) {
+      aPeer.address = aAddress;
+      aPeer.port = aPort;
+      detail::Notify(init.onPeer, aPeer);
+    }
+  }
+
+  void SendToSeeds(Heartbeat aHeartbeat)
+  {
+    aHeartbeat.heardIncarnation = 0;
+    for (const SeedAddress& seed : init.seeds) {
+      PeerInfo peer;
+      peer.host = "seed:" + seed.address + ":" + std::to_string(seed.port);
+      peer.address = seed.address;
+      peer.port = seed.port;
+      detail::Notify(init.onPeer, peer);
+      init.sender->Send(peer.host, aHeartbeat);
     }
   }
 
@@ -137,17 +173,22 @@
     peer.info.lastHeard = aNow;
     peer.heard = true;
     if (const auto* heartbeat = std::get_if<Heartbeat>(&aMessage.body)) {
-      UseHeartbeat(peer.info, *heartbeat);
+      UseHeartbeat(peer, *heartbeat);
     }
     return true;
   }
 
-  void UseHeartbeat(PeerInfo& aPeer, const Heartbeat& aHeartbeat) const
+  void UseHeartbeat(Peer& aPeer, const Heartbeat& aHeartbeat)
   {
-    aPeer.failureDomain = aHeartbeat.failureDomain;
-    aPeer.state = aHeartbeat.state;
-    aPeer.hearsUs = aHeartbeat.heardIncarnation == init.sender->Incarnation();
-    aPeer.revision = aHeartbeat.revision;
+    PeerInfo& info = aPeer.info;
+    info.failureDomain = aHeartbeat.failureDomain;
+    info.state = aHeartbeat.state;
+    info.hearsUs = aHeartbeat.heardIncarnation == init.sender->Incarnation();
+    info.revision = aHeartbeat.revision;
+    if (!aHeartbeat.address.empty() && aHeartbeat.port != 0) {
+      aPeer.statedAddress = true;
+      UseAddress(info, aHeartbeat.address, aHeartbeat.port);
+    }
   }
 
   MembershipInit init;
--- a/packages/protocol/include/boragegauge/protocol.h
+++ b/packages/protocol/include/boragegauge/protocol.h
@@ -44,6 +44,8 @@
   std::string failureDomain;
   ProxyState state = ProxyState::Starting;
   uint64_t heardIncarnation = 0; ///< Of the recipient, as heard by the sender; 0: not heard.
+  std::string address;           ///< Where the sender receives messages; empty: not stated.
+  uint16_t port = 0;
 };
 
 /// Outcomes of one upstream since the sender's last report.
--- a/packages/protocol/src/message_codec.cpp
+++ b/packages/protocol/src/message_codec.cpp
@@ -1,3 +1,5 @@
+#include <arpa/inet.h>
+
 #include <algorithm>
 
 #include "boragegauge/protocol.h"
@@ -78,6 +80,8 @@
   out.set_failure_domain(aBody.failureDomain);
   out.set_state(static_cast<uint32_t>(aBody.state));
   out.set_heard_incarnation(aBody.heardIncarnation);
+  out.set_address(aBody.address);
+  out.set_port(aBody.port);
 }
 
 void Fill(wire::Envelope& aEnvelope, const EvidenceReport& aBody)
@@ -133,13 +137,33 @@
   out.set_body(aBody.body);
 }
 
+std::string Address(const std::string& aText)
+{
+  unsigned char buffer[sizeof(in6_addr)];
+  if (!aText.empty() && inet_pton(AF_INET, aText.c_str(), buffer) != 1 &&
+      inet_pton(AF_INET6, aText.c_str(), buffer) != 1) {
+    throw InvalidField{ Errc::ProtocolViolation, "address is not an IP address" };
+  }
+  return aText;
+}
+
+uint16_t Port(uint32_t aPort)
+{
+  if (aPort > UINT16_MAX) {
+    throw InvalidField{ Errc::ProtocolViolation, "port is out of range" };
+  }
+  return static_cast<uint16_t>(aPort);
+}
+
 PeerBody Read(const wire::Heartbeat& aIn)
 {
   return Heartbeat{ aIn.revision(),
                     aIn.digest_prefix(),
                     Name(aIn.failure_domain(), "failure_domain"),
                     EnumValue<ProxyState>(aIn.state(), "state"),
-                    aIn.heard_incarnation() };
+                    aIn.heard_incarnation(),
+                    Address(aIn.address()),
+                    Port(aIn.port()) };
 }
 
 PeerBody Read(const wire::EvidenceReport& aIn)
