--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -228,6 +228,7 @@
   bool testIgnoreFloor = false;      ///< Test only: grants and applies without the floor check.
   bool testIgnoreLease = false;      ///< Test only: applies and renews ejections after expiry.
   bool testUnconditional = false;    ///< Test only: commits without the row's version.
+  bool testFreeReleased = false;     ///< Test only: a released entry frees capacity at once.
 };
 
 struct EjectionPermitsStats
--- a/packages/coordination/tests/evidence_exchange_test.cpp
+++ b/packages/coordination/tests/evidence_exchange_test.cpp
@@ -82,7 +82,7 @@
 TEST_CASE("reports respect the byte rate and lose no count")
 {
   // Guards against dropping counts while the token bucket is empty, and against exceeding 3 KB/s.
-  rc::check("random load", [] {
+  CHECK(rc::check("random load", [] {
     Fixture fixture(*rc::gen::inRange(300, 3000));
     fixture.aggregators = { "p2", "p3" };
     uint64_t added = 0;
@@ -105,7 +105,7 @@
     fixture.Run(Milliseconds(200000));
     RC_ASSERT(fixture.delivered["p2"] == added);
     RC_ASSERT(fixture.delivered["p3"] == added);
-  });
+  }));
 }
 
 TEST_CASE("verdicts go to all peers at once and are delivered")
--- /dev/null
+++ b/packages/coordination/tests/permit_fleet.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "boragegauge/coordination.h"
+#include "fake_platform.h"
+
+namespace bg::test {
+
+/// Several proxies with ejection permits on one store, ticking every 100 ms of simulated time.
+class PermitFleet
+{
+public:
+  struct Proxy
+  {
+    std::unique_ptr<FakePlatform> platform;
+    std::unique_ptr<EjectionPermits> permits;
+    std::vector<std::pair<PermitEvent, std::string>> events; ///< With the upstream.
+    uint64_t incarnation = 0;
+    bool paused = false;
+  };
+
+  PermitFleet(size_t aProxies,
+              size_t aUpstreams,
+              uint32_t aFloor,
+              EjectionPermitsInit aOptions = {})
+    : options_(std::move(aOptions))
+  {
+    health.floor = aFloor;
+    for (size_t i = 0; i < aUpstreams; ++i) {
+      health.healthy.push_back("d" + std::to_string(i));
+    }
+    proxies.resize(aProxies);
+    for (size_t i = 0; i < aProxies; ++i) {
+      proxies[i].platform = std::make_unique<FakePlatform>(simulation, store);
+      Restart(i);
+    }
+    simulation.Every(Milliseconds(100), [this] {
+      for (Proxy& proxy : proxies) {
+        if (!proxy.paused) {
+          proxy.permits->Tick(simulation.Now());
+        }
+      }
+    });
+  }
+
+  /// Replaces the process on a host: a new incarnation without memory.
+  void Restart(size_t aIndex)
+  {
+    Proxy& proxy = proxies[aIndex];
+    EjectionPermitsInit init = options_;
+    init.host = "p" + std::to_string(aIndex);
+    init.incarnation = ++proxy.incarnation;
+    init.platform = proxy.platform.get();
+    init.now = [this] { return simulation.Now(); };
+    init.services = [] { return std::vector<std::string>{ "desk" }; };
+    init.health = [this](std::string_view) { return health; };
+    init.onEvent = [&proxy](PermitEvent aEvent, const std::string&, const std::string& aUpstream) {
+      proxy.events.emplace_back(aEvent, aUpstream);
+    };
+    proxy.permits = std::make_unique<EjectionPermits>(std::move(init));
+  }
+
+  void SetPaused(size_t aIndex, bool aPaused)
+  {
+    proxies[aIndex].paused = aPaused;
+    proxies[aIndex].platform->SetPaused(aPaused);
+  }
+
+  void Acquire(size_t aIndex, const std::string& aUpstream)
+  {
+    proxies[aIndex].permits->Acquire("desk", aUpstream, "record");
+  }
+
+  std::set<std::string> EjectedBy(size_t aIndex) const
+  {
+    std::set<std::string> upstreams;
+    for (const Ejection& ejection : proxies[aIndex].permits->Ejected(simulation.Now())) {
+      upstreams.insert(ejection.upstream);
+    }
+    return upstreams;
+  }
+
+  /// Upstreams that any running proxy refuses to use.
+  std::set<std::string> EjectedByAny() const
+  {
+    std::set<std::string> all;
+    for (size_t i = 0; i < proxies.size(); ++i) {
+      if (!proxies[i].paused) {
+        all.merge(EjectedBy(i));
+      }
+    }
+    return all;
+  }
+
+  bool FloorHolds() const { return health.healthy.size() >= EjectedByAny().size() + health.floor; }
+
+  size_t Count(size_t aIndex, PermitEvent aEvent) const
+  {
+    size_t count = 0;
+    for (const auto& [event, upstream] : proxies[aIndex].events) {
+      count += event == aEvent ? 1 : 0;
+    }
+    return count;
+  }
+
+  Simulation simulation;
+  FakeStore store;
+  ServiceHealth health;
+  std::vector<Proxy> proxies;
+
+private:
+  EjectionPermitsInit options_;
+};
+
+} // namespace bg::test
--- /dev/null
+++ b/packages/coordination/tests/permit_schedule_test.cpp
@@ -0,0 +1,145 @@
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+
+#include <optional>
+#include <random>
+
+#include "permit_fleet.h"
+
+using namespace bg;
+using namespace bg::test;
+
+namespace {
+
+constexpr size_t kProxies = 4;
+constexpr size_t kUpstreams = 8;
+constexpr uint32_t kFloor = 6;
+
+using Random = std::mt19937_64;
+
+size_t Below(Random& aRandom, size_t aLimit)
+{
+  return static_cast<size_t>(aRandom() % aLimit);
+}
+
+/// 15 % of the calls have a fault, of all kinds.
+void InjectFaults(PermitFleet& aFleet, Random& aRandom)
+{
+  for (auto& proxy : aFleet.proxies) {
+    proxy.platform->fault = [&aRandom, platform = proxy.platform.get()](bool) {
+      platform->delay = Milliseconds(1 + Below(aRandom, 40));
+      platform->lateDelay = Milliseconds(500 + Below(aRandom, 15000));
+      return Below(aRandom, 100) < 15 ? static_cast<Fault>(Below(aRandom, size_t(Fault::Count)))
+                                      : Fault::None;
+    };
+  }
+}
+
+void RandomStep(PermitFleet& aFleet, Random& aRandom)
+{
+  const size_t index = Below(aRandom, kProxies);
+  auto& proxy = aFleet.proxies[index];
+  const std::string upstream = "d" + std::to_string(Below(aRandom, kUpstreams));
+  switch (Below(aRandom, 12)) {
+    case 0:
+      aFleet.SetPaused(index, !proxy.paused);
+      return;
+    case 1:
+      proxy.platform->down = !proxy.platform->down;
+      return;
+    case 2:
+      if (Below(aRandom, 4) == 0) {
+        aFleet.SetPaused(index, false);
+        aFleet.Restart(index);
+      }
+      return;
+    case 3:
+    case 4:
+      if (!proxy.paused) {
+        proxy.permits->Release("desk", upstream);
+      }
+      return;
+    default:
+      if (!proxy.paused) {
+        aFleet.Acquire(index, upstream);
+      }
+  }
+}
+
+/// Runs 90 s of a random schedule. Returns when the floor was broken, if it was.
+std::optional<int64_t> FindViolation(uint64_t aSeed,
+                                     EjectionPermitsInit aOptions,
+                                     uint64_t& aGranted)
+{
+  Random random(aSeed);
+  PermitFleet fleet(kProxies, kUpstreams, kFloor, std::move(aOptions));
+  InjectFaults(fleet, random);
+  while (fleet.simulation.ElapsedMs() < 90000) {
+    RandomStep(fleet, random);
+    const size_t steps = 1 + Below(random, 30);
+    for (size_t i = 0; i < steps; ++i) {
+      fleet.simulation.RunFor(Milliseconds(25));
+      if (!fleet.FloorHolds()) {
+        return fleet.simulation.ElapsedMs();
+      }
+    }
+  }
+  for (const auto& proxy : fleet.proxies) {
+    aGranted += proxy.permits->Stats().granted;
+  }
+  return std::nullopt;
+}
+
+bool AnyViolation(const EjectionPermitsInit& aOptions)
+{
+  uint64_t granted = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    if (const auto time = FindViolation(seed, aOptions, granted)) {
+      MESSAGE("seed " << seed << " breaks the floor at " << *time << " ms");
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("the floor holds over all proxies in random schedules with pauses and lost responses")
+{
+  uint64_t granted = 0;
+  CHECK(rc::check("random schedule", [&](uint64_t aSeed) {
+    const auto time = FindViolation(aSeed, {}, granted);
+    RC_ASSERT(!time);
+  }));
+  // Guards against a test that passes because nothing is ever ejected.
+  CHECK(granted > 300);
+}
+
+TEST_CASE("the same schedules break the floor with a protecting rule switched off")
+{
+  SUBCASE("without the floor check")
+  {
+    EjectionPermitsInit options;
+    options.testIgnoreFloor = true;
+    CHECK(AnyViolation(options));
+  }
+  SUBCASE("without the lease")
+  {
+    EjectionPermitsInit options;
+    options.testIgnoreLease = true;
+    CHECK(AnyViolation(options));
+  }
+  SUBCASE("without the condition on the row's version")
+  {
+    EjectionPermitsInit options;
+    options.testUnconditional = true;
+    CHECK(AnyViolation(options));
+  }
+  SUBCASE("with capacity that is free as soon as a permit is released")
+  {
+    EjectionPermitsInit options;
+    options.testFreeReleased = true;
+    CHECK(AnyViolation(options));
+  }
+}
--- a/packages/protocol/tests/row_codec_test.cpp
+++ b/packages/protocol/tests/row_codec_test.cpp
@@ -50,13 +50,13 @@
 
 TEST_CASE("a response body of any bytes up to 8 KB is kept, a larger one is left out")
 {
-  rc::check("any bytes", [](const std::string& aBody) {
+  CHECK(rc::check("any bytes", [](const std::string& aBody) {
     ClaimRow row = DoneClaim();
     row.outcome.body = aBody;
     const auto decoded = DecodeClaim(EncodeClaim(row));
     RC_ASSERT(bool(decoded));
     RC_ASSERT(decoded->outcome.body == std::optional<std::string>(aBody));
-  });
+  }));
   ClaimRow row = DoneClaim();
   row.outcome.body = std::string(kMaxClaimBodyBytes, 'x');
   CHECK(DecodeClaim(EncodeClaim(row))->outcome.body == row.outcome.body);
