--- a/packages/records/include/boragegauge/records.h
+++ b/packages/records/include/boragegauge/records.h
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "boragegauge/base.h"
@@ -92,7 +93,8 @@
   /// Adds a record. Refusals with the same service, subject and rule within repeatInterval only
   /// increase the count of the first one.
   /// @param aNowMs Wall clock, milliseconds since the Unix epoch.
-  void Add(DecisionRecord aRecord, int64_t aNowMs);
+  /// @return Id of the record; empty when it was counted into an earlier one.
+  std::string Add(DecisionRecord aRecord, int64_t aNowMs);
 
   /// Records that were not taken yet and whose interval has ended, oldest first. A batch that
   /// could not be stored is given back with ReturnBatch().
@@ -104,10 +106,15 @@
   const RecordRingStats& Stats() const { return stats_; }
 
 private:
+  bool IsOpen(const DecisionRecord& aRecord, int64_t aNowMs) const;
+  bool AddRepeat(const DecisionRecord& aRecord, int64_t aNowMs);
+  void LimitPending();
+
   RecordRingInit init_;
   RecordRingStats stats_;
   std::deque<DecisionRecord> records_;
   std::deque<DecisionRecord> pending_;
+  std::unordered_map<std::string, uint64_t> open_; ///< Sequence of the refusal that is counted up.
   uint64_t sequence_ = 0;
 };
 
