--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -126,7 +126,6 @@
   PeerSender* sender = nullptr;
   Platform* platform = nullptr;
   ClockHook now = nullptr;
-  PeersHook livePeers = nullptr;
   /// Problem of a body whose digest is right; empty when it is valid.
   std::function<std::string(std::string_view aBody)> validate = nullptr;
   std::function<void(uint64_t aRevision, const std::string& aDigest, const std::string& aBody)>
@@ -136,6 +135,7 @@
   Milliseconds maxBackoff{ 4000 };
   Milliseconds callDeadline{ 800 };
   Milliseconds isolationLimit{ 4000 }; ///< Not ready when cut off for longer.
+  Milliseconds startupWait{ 1500 };    ///< Not ready earlier: each peer's heartbeat can arrive.
   bool testAllowLower = false;         ///< Test only: adopts lower revisions.
   bool testAllowFork = false;          ///< Test only: adopts another digest of the same revision.
 };
