--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -65,6 +65,13 @@
   uint64_t revision = 0;
 };
 
+/// A peer whose host name is not known yet.
+struct SeedAddress
+{
+  std::string address; ///< IP address.
+  uint16_t port = 0;
+};
+
 struct MembershipInit
 {
   PeerSender* sender = nullptr;
@@ -77,6 +84,8 @@
   std::function<void(std::string_view aHost)> onPeerRemoved = nullptr;
   /// The whole host list, after each successful read.
   std::function<void(const std::vector<HostEntry>& aHosts)> onHosts = nullptr;
+  /// Addresses to which heartbeats go while no peer is heard, for a start without the host list.
+  std::vector<SeedAddress> seeds;
   Milliseconds heartbeatInterval{ 1000 };
   Milliseconds hostsInterval{ 1000 };
   Milliseconds peerTimeout{ 5000 }; ///< A peer not heard from for so long is not used.
@@ -126,7 +135,6 @@
   PeerSender* sender = nullptr;
   Platform* platform = nullptr;
   ClockHook now = nullptr;
-  PeersHook livePeers = nullptr;
   /// Problem of a body whose digest is right; empty when it is valid.
   std::function<std::string(std::string_view aBody)> validate = nullptr;
   std::function<void(uint64_t aRevision, const std::string& aDigest, const std::string& aBody)>
@@ -136,6 +144,7 @@
   Milliseconds maxBackoff{ 4000 };
   Milliseconds callDeadline{ 800 };
   Milliseconds isolationLimit{ 4000 }; ///< Not ready when cut off for longer.
+  Milliseconds startupWait{ 1500 };    ///< Not ready earlier: each peer's heartbeat can arrive.
   bool testAllowLower = false;         ///< Test only: adopts lower revisions.
   bool testAllowFork = false;          ///< Test only: adopts another digest of the same revision.
 };
@@ -228,6 +237,7 @@
   bool testIgnoreFloor = false;      ///< Test only: grants and applies without the floor check.
   bool testIgnoreLease = false;      ///< Test only: applies and renews ejections after expiry.
   bool testUnconditional = false;    ///< Test only: commits without the row's version.
+  bool testFreeReleased = false;     ///< Test only: a released entry frees capacity at once.
 };
 
 struct EjectionPermitsStats
