--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -98,7 +98,11 @@
     if (!entries)
       return Fail(ExitCode::Unreachable, ToString(entries.Failure()));
     printer_.History(*entries);
-    const auto failed = [](const auto& aEntry) { return aEntry.error.has_value(); };
+    // A missing row is shown but is no failure: proxies that restore a head write no rows for the
+    // revisions before it.
+    const auto failed = [](const HistoryEntry& aEntry) {
+      return aEntry.error && aEntry.error->code != Errc::NotFound;
+    };
     return std::ranges::any_of(*entries, failed) ? ExitCode::Unreachable : ExitCode::Ok;
   }
 
--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <map>
 
 #include "ctl_p.h"
@@ -109,13 +110,14 @@
 
 void Explainer::ReadProxies(const ExplainQuery& aQuery, ExplainResult& aResult)
 {
+  // An address stated by the operator has no host name to select by.
   auto proxies = init_.proxies;
   if (const auto live = LiveProxies(*init_.platform); live)
-    proxies.insert(proxies.end(), live->begin(), live->end());
+    std::ranges::copy_if(*live, std::back_inserter(proxies), [&](const ProxyAddress& aProxy) {
+      return aQuery.proxy.empty() || aQuery.proxy == aProxy.host;
+    });
   else
     aResult.unreachable.push_back("host list: " + ToString(live.Failure()));
-  if (!aQuery.proxy.empty())
-    std::erase_if(proxies, [&](const auto& aProxy) { return aProxy.host != aQuery.proxy; });
 
   const auto bodies = init_.queryProxies(proxies, "/decisions");
   for (size_t i = 0; i < proxies.size(); ++i) {
