--- a/packages/upstream/tests/raw_tcp.cpp
+++ b/packages/upstream/tests/raw_tcp.cpp
@@ -126,6 +126,14 @@
   return std::exchange(buffer_, {});
 }
 
+std::string RawConnection::ReadSome()
+{
+  if (buffer_.empty()) {
+    Fill();
+  }
+  return std::exchange(buffer_, {});
+}
+
 bool RawConnection::WaitForClose() const
 {
   char chunk[65536];
--- a/packages/upstream/tests/raw_tcp.h
+++ b/packages/upstream/tests/raw_tcp.h
@@ -34,6 +34,8 @@
   /// Reads a message head and as many body bytes as its Content-Length states.
   std::string ReadMessage();
   std::string ReadToEnd();
+  /// The next bytes, as many as have arrived; empty when the peer has closed.
+  std::string ReadSome();
   /// True when the peer closes the connection before the deadline; discards what arrives.
   bool WaitForClose() const;
   /// Sends FIN, and RST when the peer writes again.
