--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -306,7 +306,7 @@
   Milliseconds retryInterval{ 500 };    ///< Of outcomes and withdrawals.
   Milliseconds outcomeLimit{ 600000 };  ///< Outcomes not stored by then are given up.
   Milliseconds sweepInterval{ 2000 };   ///< One 1/256 part of a service's keys is read each time.
-  size_t sweepLimit = 8;                ///< Rows deleted per interval.
+  size_t sweepLimit = 16;               ///< Rows deleted per interval, in one commit.
   size_t maxWaiting = 1024;             ///< Claims in progress; more get StoreUnavailable.
   bool testTrustLostResponse = false;   ///< Test only: takes a lost response as a won claim.
   bool testIgnoreExistingClaim = false; ///< Test only: commits without the condition.
@@ -333,7 +333,8 @@
 
   void Tick(TimePoint aNow);
 
-  /// Claims a key. The callback is called once, at the deadline at the latest (by Tick()).
+  /// Claims a key. The callback is called once, at the deadline at the latest (by Tick()), and
+  /// possibly before Claim() returns.
   void Claim(ClaimRequest aRequest, TimePoint aDeadline, Callback aCallback);
 
   /// Stores the response to a claimed request; retried until outcomeLimit.
--- /dev/null
+++ b/packages/coordination/tests/claim_store_test.cpp
@@ -0,0 +1,154 @@
+#include <doctest/doctest.h>
+
+#include "claim_fleet.h"
+
+using namespace bg;
+using namespace bg::test;
+
+namespace {
+
+const ClaimOutcome kOutcome{ 201, { { "Content-Type", "text/plain" } }, "order 12" };
+
+} // namespace
+
+TEST_CASE("a claim, its outcome and its replay")
+{
+  ClaimFleet fleet(2);
+  const ClaimResult won = fleet.ClaimNow(0);
+  REQUIRE(won.status == ClaimStatus::Won);
+  CHECK(fleet.ClaimNow(1).status == ClaimStatus::InProgressOrUnknown);
+  CHECK(fleet.ClaimNow(0).status == ClaimStatus::InProgressOrUnknown);
+  CHECK(fleet.ClaimNow(1, ClaimFleet::Request("key", "other")).status == ClaimStatus::KeyReused);
+  CHECK(fleet.ClaimNow(1, ClaimFleet::Request("key 2")).status == ClaimStatus::Won);
+  ClaimRequest otherAccount = ClaimFleet::Request();
+  otherAccount.account = "account-8";
+  CHECK(fleet.ClaimNow(1, otherAccount).status == ClaimStatus::Won);
+
+  SUBCASE("the outcome answers repeats on every proxy, and other requests are refused")
+  {
+    fleet.proxies[0].claims->Complete(won.rowKey, kOutcome);
+    fleet.simulation.RunFor(Milliseconds(100));
+    const ClaimResult repeat = fleet.ClaimNow(1);
+    REQUIRE(repeat.status == ClaimStatus::AlreadyDone);
+    CHECK(repeat.outcome.status == 201);
+    CHECK(repeat.outcome.body == kOutcome.body);
+    CHECK(repeat.outcome.headers == kOutcome.headers);
+    CHECK(fleet.ClaimNow(1, ClaimFleet::Request("key", "other")).status == ClaimStatus::KeyReused);
+  }
+
+  SUBCASE("a claim whose request was not run can be withdrawn")
+  {
+    fleet.proxies[0].claims->Withdraw(won.rowKey);
+    fleet.simulation.RunFor(Milliseconds(100));
+    CHECK(fleet.ClaimNow(1).status == ClaimStatus::Won);
+  }
+
+  SUBCASE("a claim that is forgotten stays without outcome")
+  {
+    fleet.proxies[0].claims->Forget(won.rowKey);
+    fleet.proxies[0].claims->Complete(won.rowKey, kOutcome);
+    CHECK(fleet.ClaimNow(1).status == ClaimStatus::InProgressOrUnknown);
+  }
+
+  SUBCASE("an outcome is stored after an outage, and after lost responses")
+  {
+    FakePlatform& platform = *fleet.proxies[0].platform;
+    SUBCASE("outage")
+    {
+      platform.down = true;
+    }
+    SUBCASE("lost responses")
+    {
+      platform.fault = [](bool) { return Fault::Lost; };
+    }
+    SUBCASE("late effects")
+    {
+      platform.fault = [](bool) { return Fault::Late; };
+    }
+    fleet.proxies[0].claims->Complete(won.rowKey, kOutcome);
+    fleet.simulation.RunFor(Milliseconds(60000));
+    platform.down = false;
+    platform.fault = nullptr;
+    fleet.simulation.RunFor(Milliseconds(5000));
+    CHECK(fleet.ClaimNow(1).status == ClaimStatus::AlreadyDone);
+    CHECK(fleet.proxies[0].claims->Stats().outcomesStored == 1);
+  }
+
+  SUBCASE("a row of a later format is a claim of unknown state")
+  {
+    fleet.store.Put(won.rowKey, R"({"format":2})");
+    CHECK(fleet.ClaimNow(1).status == ClaimStatus::InProgressOrUnknown);
+  }
+}
+
+TEST_CASE("claims without the table are refused in bounded time")
+{
+  ClaimFleet fleet(1);
+
+  SUBCASE("unavailable: at once")
+  {
+    fleet.proxies[0].platform->down = true;
+    fleet.Claim(0);
+    fleet.simulation.RunFor(Milliseconds(20));
+    REQUIRE(fleet.proxies[0].results.size() == 1);
+    CHECK(fleet.proxies[0].results[0].status == ClaimStatus::StoreUnavailable);
+  }
+
+  SUBCASE("responses lost: at the deadline, and the claim is deleted when it is found")
+  {
+    // Guards against a key that is blocked for a day by a claim that nobody holds.
+    fleet.proxies[0].platform->fault = [](bool aWrite) {
+      return aWrite ? Fault::Lost : Fault::None;
+    };
+    fleet.proxies[0].platform->delay = Milliseconds(150);
+    fleet.ClaimNow(0, ClaimFleet::Request("first, to learn the table's clock"));
+    fleet.proxies[0].platform->fault = [](bool) { return Fault::Lost; };
+    CHECK(fleet.ClaimNow(0).status == ClaimStatus::StoreUnavailable);
+    CHECK(fleet.store.rows.contains(ClaimKey("desk", "account-7", "key")));
+    fleet.proxies[0].platform->fault = nullptr;
+    fleet.simulation.RunFor(Milliseconds(3000));
+    CHECK_FALSE(fleet.store.rows.contains(ClaimKey("desk", "account-7", "key")));
+    CHECK(fleet.ClaimNow(0).status == ClaimStatus::Won);
+  }
+
+  SUBCASE("too many waiting: at once")
+  {
+    fleet.proxies[0].platform->fault = [](bool) { return Fault::Dropped; };
+    for (int i = 0; i < 1025; ++i) {
+      fleet.Claim(0, ClaimFleet::Request(std::to_string(i)));
+    }
+    CHECK(fleet.proxies[0].results.size() == 1);
+    fleet.simulation.RunFor(Milliseconds(1100));
+    CHECK(fleet.Count(ClaimStatus::StoreUnavailable) == 1025);
+  }
+
+  SUBCASE("a claim that is won during a pause is still its own")
+  {
+    fleet.ClaimNow(0, ClaimFleet::Request("first, to learn the table's clock"));
+    fleet.Claim(0);
+    fleet.proxies[0].paused = true;
+    fleet.proxies[0].platform->SetPaused(true);
+    fleet.simulation.RunFor(Milliseconds(10000));
+    fleet.proxies[0].paused = false;
+    fleet.proxies[0].platform->SetPaused(false);
+    CHECK(fleet.proxies[0].results.back().status == ClaimStatus::Won);
+  }
+}
+
+TEST_CASE("old claims are deleted by the proxy that is responsible, and younger ones kept")
+{
+  ClaimStoreInit options;
+  options.sweptServices = [] { return std::vector<std::string>{ "desk", "proof" }; };
+  ClaimFleet fleet(1, options);
+  for (int i = 0; i < 100; ++i) {
+    fleet.ClaimNow(0, ClaimFleet::Request("old " + std::to_string(i)));
+  }
+  fleet.simulation.RunFor(std::chrono::hours(23));
+  CHECK(fleet.store.rows.size() == 100);
+  for (int i = 0; i < 50; ++i) {
+    fleet.ClaimNow(0, ClaimFleet::Request("young " + std::to_string(i)));
+  }
+  fleet.simulation.RunFor(std::chrono::hours(2));
+  CHECK(fleet.store.rows.size() == 50);
+  CHECK(fleet.proxies[0].claims->Stats().swept == 100);
+}
