--- a/packages/ctl/include/boragegauge/ctl.h
+++ b/packages/ctl/include/boragegauge/ctl.h
@@ -220,6 +220,7 @@
   std::function<Session(const std::string& aAddress, uint16_t aPort)> connect;
   std::ostream* out = nullptr;
   std::ostream* err = nullptr;
+  std::function<void(Milliseconds)> pause; ///< Sleeps.
 };
 
 /// Runs one command line, the program's name first, and returns its exit code.
--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -1,5 +1,4 @@
 #include <ostream>
-#include <thread>
 
 #include <CLI/CLI.hpp>
 
@@ -75,7 +74,7 @@
     ApplyInit init;
     init.platform = &*platform_;
     init.queryProxies = session_.queryProxies;
-    init.pause = [](Milliseconds aTime) { std::this_thread::sleep_for(aTime); };
+    init.pause = init_.pause;
     init.skipUnreachable = options_.skipUnreachable;
     auto result = Applier(std::move(init)).Apply(LoadConfigurationFolder(options_.folder), *base);
     if (result.code == ExitCode::Ok) {
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -1,9 +1,14 @@
 #include <iostream>
+#include <thread>
 
 #include "boragegauge/ctl.h"
 
 int main(int argc, char** argv)
 {
-  return bg::ctl::RunCtl({ bg::ctl::Connect, &std::cout, &std::cerr },
-                         { argv, static_cast<size_t>(argc) });
+  bg::ctl::CtlInit init;
+  init.connect = bg::ctl::Connect;
+  init.out = &std::cout;
+  init.err = &std::cerr;
+  init.pause = [](bg::Milliseconds aTime) { std::this_thread::sleep_for(aTime); };
+  return bg::ctl::RunCtl(init, { argv, static_cast<size_t>(argc) });
 }
--- a/packages/ctl/src/printer.cpp
+++ b/packages/ctl/src/printer.cpp
@@ -89,15 +89,25 @@
     aOut << ToString(problem) << '\n';
 }
 
+/// A whole added service would fill the terminal; --json has the complete values.
+std::string Shorten(const std::string& aValue)
+{
+  constexpr size_t kMaxBytes = 160;
+  return aValue.size() <= kMaxBytes
+           ? aValue
+           : aValue.substr(0, kMaxBytes) + "... (" + std::to_string(aValue.size()) + " bytes)";
+}
+
 void PrintChanges(std::ostream& aOut, const std::vector<ConfigurationChange>& aChanges)
 {
   for (const auto& change : aChanges) {
     if (change.kind == ChangeKind::Added)
-      aOut << "+ " << change.pointer << ": " << change.after << '\n';
+      aOut << "+ " << change.pointer << ": " << Shorten(change.after) << '\n';
     else if (change.kind == ChangeKind::Removed)
-      aOut << "- " << change.pointer << ": " << change.before << '\n';
+      aOut << "- " << change.pointer << ": " << Shorten(change.before) << '\n';
     else
-      aOut << "~ " << change.pointer << ": " << change.before << " -> " << change.after << '\n';
+      aOut << "~ " << change.pointer << ": " << Shorten(change.before) << " -> "
+           << Shorten(change.after) << '\n';
   }
 }
 
--- a/packages/ctl/tests/cli_test.cpp
+++ b/packages/ctl/tests/cli_test.cpp
@@ -39,6 +39,7 @@
     CtlInit init;
     init.out = &out;
     init.err = &err;
+    init.pause = [](Milliseconds) {};
     init.connect = [this](const std::string&, uint16_t) {
       return Session{ platform, [this](std::span<const ProxyAddress> aProxies, std::string_view) {
                        return std::vector<Result<std::string>>(aProxies.size(), state);
