--- a/packages/configuration/src/json.cpp
+++ b/packages/configuration/src/json.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limits>
 
 #include <nlohmann/json.hpp>
@@ -54,8 +55,10 @@
 
   bool key(string_t& aKey) override
   {
-    key_ = aKey;
-    if (open_.back()->members.contains(key_))
+    key_ = std::move(aKey);
+    // Canonical bodies arrive in key order, so a key after the last one needs no look-up.
+    const auto& members = open_.back()->members;
+    if (!members.empty() && members.rbegin()->first >= key_ && members.contains(key_))
       Report(ChildPointer(Pointer(), key_), "key \"" + key_ + "\" twice in one file", "one value");
     return true;
   }
@@ -94,12 +97,18 @@
     if (!open_.empty() && open_.back()->type == JsonType::Array)
       node = &open_.back()->items.emplace_back();
     else if (!open_.empty())
-      node = &(open_.back()->members[key_] = JsonValue());
+      node = &(PlaceMember() = JsonValue());
     node->type = aType;
     node->file = fileIndex_;
     return *node;
   }
 
+  JsonValue& PlaceMember()
+  {
+    auto& members = open_.back()->members;
+    return members.try_emplace(members.end(), key_)->second;
+  }
+
   bool Open(JsonType aType)
   {
     if (open_.size() >= kMaxJsonDepth) {
@@ -150,13 +159,25 @@
 
 void Dump(const JsonValue& aValue, std::string& aOut);
 
+/// Most strings need no escapes; nlohmann's serializer costs several allocations for each.
+void DumpString(const std::string& aText, std::string& aOut)
+{
+  const auto isPlain = [](char aByte) {
+    return aByte >= ' ' && aByte != '"' && aByte != '\\' && aByte != '\x7f';
+  };
+  if (std::ranges::all_of(aText, isPlain))
+    aOut.append(1, '"').append(aText).append(1, '"');
+  else
+    aOut += nlohmann::json(aText).dump();
+}
+
 void DumpObject(const JsonValue& aValue, std::string& aOut)
 {
   aOut += '{';
   for (const auto& [key, member] : aValue.members) {
     if (aOut.back() != '{')
       aOut += ',';
-    aOut += nlohmann::json(key).dump();
+    DumpString(key, aOut);
     aOut += ':';
     Dump(member, aOut);
   }
@@ -187,7 +208,7 @@
       aOut += nlohmann::json(aValue.number).dump();
       break;
     case JsonType::String:
-      aOut += nlohmann::json(aValue.text).dump();
+      DumpString(aValue.text, aOut);
       break;
     case JsonType::Array:
       DumpArray(aValue, aOut);
--- a/packages/configuration/src/model.cpp
+++ b/packages/configuration/src/model.cpp
@@ -198,8 +198,9 @@
     reader.Integer("port", 1, 65535, upstream.port);
     reader.Integer("admin_port", 0, 65535, upstream.adminPort);
     if (const auto* const domain = reader.Member("failure_domain", JsonType::String))
-      upstream.failureDomain.idx =
-        Resolve(model_.failureDomains, *domain, reader.Pointer("failure_domain"), "failure domain");
+      upstream.failureDomain.idx = Resolve(model_.failureDomains, *domain, "failure domain", [&] {
+        return reader.Pointer("failure_domain");
+      });
     reader.Finish();
     const UpstreamHandle handle{ static_cast<uint16_t>(model_.upstreams.size()) };
     model_.services[aService.idx].upstreams.push_back(handle);
@@ -244,7 +245,8 @@
     ReadMethods(reader, route);
     ReadRouteCallers(reader, route);
     if (const auto* const service = reader.Member("service", JsonType::String))
-      route.service.idx = Resolve(model_.services, *service, reader.Pointer("service"), "service");
+      route.service.idx =
+        Resolve(model_.services, *service, "service", [&] { return reader.Pointer("service"); });
     route.idempotent = std::ranges::all_of(route.methods, IsIdempotentMethod);
     reader.Boolean("idempotent", route.idempotent);
     reader.Boolean("require_idempotency_key", route.requireIdempotencyKey);
@@ -276,8 +278,9 @@
       const auto& item = callers->items[i];
       if (item.type != JsonType::String)
         continue;
-      const auto pointer = ChildPointer(aReader.Pointer("callers"), std::to_string(i));
-      const CallerHandle handle{ Resolve(model_.callers, item, pointer, "caller") };
+      const CallerHandle handle{ Resolve(model_.callers, item, "caller", [&] {
+        return ChildPointer(aReader.Pointer("callers"), std::to_string(i));
+      }) };
       if (IsValid(handle))
         aRoute.callers.push_back(handle);
     }
@@ -290,12 +293,13 @@
     return aPart.id;
   }
 
-  /// Index of the id in the sorted parts; reports an unknown one and returns UINT16_MAX.
-  template<typename Part>
+  /// Index of the id in the sorted parts; reports an unknown one and returns UINT16_MAX. The
+  /// pointer is only made for a report.
+  template<typename Part, typename MakePointer>
   uint16_t Resolve(const std::vector<Part>& aParts,
                    const JsonValue& aValue,
-                   const std::string& aPointer,
-                   std::string_view aWhat)
+                   std::string_view aWhat,
+                   MakePointer aPointer)
   {
     const auto id = [](const Part& aPart) { return IdOf(aPart); };
     const auto it = std::ranges::lower_bound(aParts, std::string_view(aValue.text), {}, id);
@@ -305,7 +309,7 @@
     std::ranges::transform(aParts, ids.begin(), id);
     const auto nearest = Nearest(aValue.text, ids);
     sink_.Add(aValue,
-              aPointer,
+              aPointer(),
               "unknown " + std::string(aWhat) + " " + DumpJson(aValue),
               nearest.empty() ? "the id of a " + std::string(aWhat)
                               : "\"" + nearest + "\" (nearest id)");
--- a/packages/configuration/src/references.cpp
+++ b/packages/configuration/src/references.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 #include <map>
-#include <tuple>
+#include <unordered_map>
 
 #include "configuration_p.h"
 
@@ -32,8 +32,8 @@
                     const ModelSources& aSources,
                     const ProblemSink& aSink)
 {
-  std::map<std::pair<std::string, uint16_t>, size_t> addresses;
-  std::map<std::string_view, size_t> ids;
+  std::unordered_map<std::string, size_t> addresses; // Binary address and port.
+  std::unordered_map<std::string_view, size_t> ids;
   for (size_t i = 0; i < aModel.upstreams.size(); ++i) {
     const auto& upstream = aModel.upstreams[i];
     const auto& source = aSources.upstreams[i];
@@ -50,7 +50,7 @@
       aSink.Add(member, DescribeValue(*member.value), "IPv4 or IPv6 address");
       continue;
     }
-    const auto [it, isNew] = addresses.try_emplace({ address, upstream.port }, i);
+    const auto [it, isNew] = addresses.try_emplace(address + std::to_string(upstream.port), i);
     if (!isNew && upstream.port != 0)
       aSink.Add(Child(source, "port"),
                 upstream.address + " port " + std::to_string(upstream.port) + ", used by " +
@@ -85,7 +85,7 @@
                   const ModelSources& aSources,
                   const ProblemSink& aSink)
 {
-  std::map<std::string_view, size_t> owners;
+  std::unordered_map<std::string_view, size_t> owners;
   for (size_t i = 0; i < aModel.callers.size(); ++i) {
     for (const auto& prefix : aModel.callers[i].accountPrefixes) {
       const auto [it, isNew] = owners.try_emplace(prefix, i);
@@ -102,13 +102,15 @@
                  const ModelSources& aSources,
                  const ProblemSink& aSink)
 {
-  std::map<std::tuple<std::string_view, std::string_view, CallerHandle>, size_t> owners;
+  using Owners = std::map<std::pair<std::string_view, CallerHandle>, size_t>;
+  std::unordered_map<std::string_view, Owners> byPrefix;
   for (size_t i = 0; i < aModel.routes.size(); ++i) {
     const auto& route = aModel.routes[i];
+    auto& owners = byPrefix[route.pathPrefix];
     std::map<size_t, std::string> overlaps;
     for (const auto& method : route.methods) {
       for (const auto caller : route.callers) {
-        const auto [it, isNew] = owners.try_emplace({ route.pathPrefix, method, caller }, i);
+        const auto [it, isNew] = owners.try_emplace({ method, caller }, i);
         if (!isNew && it->second != i)
           overlaps.try_emplace(it->second, method + " of " + aModel.callers[caller.idx].id);
       }
