Let apply resolve a fork and notice a regressed store

Cause: with the head's own content, apply answered "has this content already" although a proxy held the head's revision with another digest (never adopted) or a higher revision (store restored from an older copy).

Ruled out: asking for an artificial change of the folder to get a new revision.

Change: proxies are asked first; the same content gets a higher revision after a fork and is refused under a regressed store. A dead proxy does not fail an apply that changes nothing. A test name lost its semicolon: ctest took it as two names that select no test and pass.

--- a/packages/ctl/include/boragegauge/ctl.h
+++ b/packages/ctl/include/boragegauge/ctl.h
@@ -129,7 +129,12 @@
   enum class Resolution;
   Result<Head> ReadHead();
   std::optional<ApplyResult> CheckBase(const Head& aHead, const std::optional<FolderBase>& aBase);
-  std::optional<ApplyResult> CheckProxies(const Head& aHead, uint32_t aFormat);
+  using Proxies = std::span<const ProxyStatus>;
+  static std::optional<ApplyResult> CheckObjections(const Head& aHead,
+                                                    uint32_t aFormat,
+                                                    Proxies aProxies);
+  std::optional<ApplyResult> CheckAnswers(Proxies aProxies) const;
+  static std::optional<ApplyResult> CheckInForce(const Head& aHead, Proxies aProxies);
   std::optional<ApplyResult> StoreBody(const std::string& aDigest, const std::string& aBody);
   ApplyResult MoveHead(const Head& aHead, const ConfigurationReport& aFolder);
   Resolution Resolve(const CommitRequest& aCommit, uint64_t aRevision, const std::string& aChange);
--- a/packages/ctl/src/apply.cpp
+++ b/packages/ctl/src/apply.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "ctl_p.h"
 
 namespace bg::ctl {
@@ -80,23 +82,48 @@
     return Refuse(ExitCode::Unreachable,
                   { "the head could not be read; nothing was changed", ToString(head.Failure()) });
   const auto& digest = aFolder.configuration->digest;
-  if (head->version != 0 && head->row.digest == digest) {
-    auto result =
-      Refuse(ExitCode::Ok, { Name(head->row.revision, digest) + " has this content already" });
-    result.revision = head->row.revision;
-    result.digest = digest;
-    result.changeId = head->row.changeId;
-    return result;
+  const bool sameContent = head->version != 0 && head->row.digest == digest;
+  if (!sameContent) {
+    if (auto refused = CheckBase(*head, aBase))
+      return *refused;
   }
-  if (auto refused = CheckBase(*head, aBase))
+  const auto live = LiveProxies(*init_.platform);
+  if (!live)
+    return Refuse(
+      ExitCode::Unreachable,
+      { "the host list could not be read; nothing was changed", ToString(live.Failure()) });
+  const auto proxies = ReadProxyStatus(*live, init_.queryProxies);
+  if (auto refused = CheckObjections(*head, aFolder.configuration->format, proxies))
     return *refused;
-  if (auto refused = CheckProxies(*head, aFolder.configuration->format))
+  if (sameContent) {
+    if (auto done = CheckInForce(*head, proxies))
+      return *done;
+  }
+  if (auto refused = CheckAnswers(proxies))
     return *refused;
   if (auto refused = StoreBody(digest, aFolder.body))
     return *refused;
   return MoveHead(*head, aFolder);
 }
 
+/// The same content needs no new revision, unless a proxy holds the head's revision with another
+/// digest: it never adopts this revision, only a higher one.
+std::optional<ApplyResult> Applier::CheckInForce(const Head& aHead, Proxies aProxies)
+{
+  const auto isForked = [&](const ProxyStatus& aProxy) {
+    return !aProxy.error && aProxy.revision == aHead.row.revision &&
+           aProxy.digest != aHead.row.digest;
+  };
+  if (std::ranges::any_of(aProxies, isForked))
+    return std::nullopt;
+  auto result = Refuse(
+    ExitCode::Ok, { Name(aHead.row.revision, aHead.row.digest) + " has this content already" });
+  result.revision = aHead.row.revision;
+  result.digest = aHead.row.digest;
+  result.changeId = aHead.row.changeId;
+  return result;
+}
+
 Result<Applier::Head> Applier::ReadHead()
 {
   const auto reply = init_.platform->ReadRow(kHeadKey);
@@ -135,33 +162,37 @@
                         "; nothing was changed");
 }
 
-std::optional<ApplyResult> Applier::CheckProxies(const Head& aHead, uint32_t aFormat)
+std::optional<ApplyResult> Applier::CheckObjections(const Head& aHead,
+                                                    uint32_t aFormat,
+                                                    Proxies aProxies)
 {
-  const auto proxies = LiveProxies(*init_.platform);
-  if (!proxies)
-    return Refuse(
-      ExitCode::Unreachable,
-      { "the host list could not be read; nothing was changed", ToString(proxies.Failure()) });
-  std::vector<std::string> objections;
-  std::vector<std::string> unreachable;
-  for (const auto& proxy : ReadProxyStatus(*proxies, init_.queryProxies)) {
+  std::vector<std::string> messages;
+  for (const auto& proxy : aProxies) {
     if (proxy.error)
-      unreachable.push_back(proxy.proxy.host + ": " + ToString(*proxy.error));
-    else if (auto objection = ProxyObjection(proxy, aHead.row, aFormat))
-      objections.push_back(std::move(*objection));
-  }
-  if (!objections.empty()) {
-    objections.insert(objections.begin(), "a proxy speaks against it; nothing was changed");
-    return Refuse(ExitCode::Conflict, std::move(objections));
+      continue;
+    if (auto objection = ProxyObjection(proxy, aHead.row, aFormat))
+      messages.push_back(std::move(*objection));
   }
-  // A proxy that does not answer may read only an older format or hold a higher revision.
-  if (!unreachable.empty() && !init_.skipUnreachable) {
-    unreachable.insert(unreachable.begin(),
-                       "a live proxy did not answer; nothing was changed (--skip-unreachable "
-                       "applies without its answer)");
-    return Refuse(ExitCode::Unreachable, std::move(unreachable));
+  if (messages.empty())
+    return std::nullopt;
+  messages.insert(messages.begin(), "a proxy speaks against it; nothing was changed");
+  return Refuse(ExitCode::Conflict, std::move(messages));
+}
+
+/// A proxy that does not answer may read only an older format or hold a higher revision.
+std::optional<ApplyResult> Applier::CheckAnswers(Proxies aProxies) const
+{
+  std::vector<std::string> messages;
+  for (const auto& proxy : aProxies) {
+    if (proxy.error)
+      messages.push_back(proxy.proxy.host + ": " + ToString(*proxy.error));
   }
-  return std::nullopt;
+  if (messages.empty() || init_.skipUnreachable)
+    return std::nullopt;
+  messages.insert(messages.begin(),
+                  "a live proxy did not answer; nothing was changed (--skip-unreachable applies "
+                  "without its answer)");
+  return Refuse(ExitCode::Unreachable, std::move(messages));
 }
 
 std::optional<ApplyResult> Applier::StoreBody(const std::string& aDigest, const std::string& aBody)
--- a/packages/ctl/tests/apply_test.cpp
+++ b/packages/ctl/tests/apply_test.cpp
@@ -25,10 +25,10 @@
     states = { { "p1", State(0, 1) }, { "p2", State(0, 1) } };
   }
 
-  static std::string State(uint64_t aRevision, uint32_t aFormat)
+  static std::string State(uint64_t aRevision, uint32_t aFormat, const std::string& aDigest = "d")
   {
-    return R"({"revision":)" + std::to_string(aRevision) + R"(,"digest":"d","format_max":)" +
-           std::to_string(aFormat) + "}";
+    return R"({"revision":)" + std::to_string(aRevision) + R"(,"digest":")" + aDigest +
+           R"(","format_max":)" + std::to_string(aFormat) + "}";
   }
 
   ApplyResult Apply(int aRetention, const std::optional<FolderBase>& aBase, bool aSkip = false)
@@ -88,13 +88,31 @@
   CHECK(second.changes[0].pointer == "/claim_retention_h");
   CHECK(fleet.InForce() == 2);
 
-  SUBCASE("the same content again moves nothing, even from an older base")
+  SUBCASE("the same content again moves nothing, even from an older base or with a dead proxy")
   {
+    fleet.states.erase("p2");
     const auto again = fleet.Apply(2, FolderBase{ 1, first.digest });
     CHECK(again.code == ExitCode::Ok);
     CHECK(again.revision == 2);
     CHECK(fleet.platform.Head()->revision == 2);
   }
+  SUBCASE("the same content again is refused while proxies have a higher revision")
+  {
+    // Guards against "in force already" when the store was restored from an older copy.
+    fleet.states["p1"] = Fleet::State(5, 1);
+    CHECK(fleet.Apply(2, fleet.Base()).code == ExitCode::Conflict);
+  }
+  SUBCASE("the same content again gets a higher revision after a fork")
+  {
+    // Guards against a proxy that keeps another digest of the head's revision for ever.
+    fleet.states["p1"] = Fleet::State(2, 1, second.digest);
+    CHECK(fleet.Apply(2, fleet.Base()).revision == 2);
+    fleet.states["p2"] = Fleet::State(2, 1, first.digest);
+    const auto again = fleet.Apply(2, fleet.Base());
+    CHECK(again.code == ExitCode::Ok);
+    CHECK(again.revision == 3);
+    CHECK(again.digest == second.digest);
+  }
   SUBCASE("history shows both, newest first")
   {
     const auto history = ReadHistory(fleet.blocking, 10);
--- a/packages/ctl/tests/session_test.cpp
+++ b/packages/ctl/tests/session_test.cpp
@@ -63,7 +63,7 @@
 } // namespace
 
 // Guards against a dead proxy that hides or blocks the answers of the others.
-TEST_CASE("proxies are asked over HTTP; one that is dead gives an error")
+TEST_CASE("proxies are asked over HTTP, and a dead one gives an error")
 {
   const Server healthy(
     Server::Bodies{ { "/state", R"({"revision":3,"digest":"d","format_max":1})" } });
