--- a/tests/support/http_server.cpp
+++ b/tests/support/http_server.cpp
@@ -3,9 +3,11 @@
 #include <http_parser.h>
 #include <strings.h>
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/write.hpp>
+#include <csignal>
 #include <cstdio>
 #include <set>
 
@@ -97,6 +99,7 @@
   void Write(std::string aBytes, bool aKeepAlive, bool aReset);
   void Shutdown(bool aReset);
   TimePoint AcceptedAt() const { return acceptedAt_; }
+  bool Writing() const { return writing_; }
 
 private:
   static const http_parser_settings& Settings();
@@ -197,15 +200,18 @@
   uint16_t Port() const override { return acceptor_.local_endpoint().port(); }
   void StopAccepting() override { acceptor_.close(); }
   size_t Connections() const override { return connections_.size(); }
-  size_t PendingWrites() const override { return pendingWrites_; }
+  size_t PendingWrites() const override
+  {
+    return std::count_if(connections_.begin(), connections_.end(), [](const auto& aConnection) {
+      return aConnection->Writing();
+    });
+  }
   void Abort() override
   {
     acceptor_.close();
     CloseAll(true);
   }
 
-  void CountWrite(int aChange) { pendingWrites_ += aChange; }
-
   void Handle(std::shared_ptr<HttpExchange> aExchange) { init_.handler(std::move(aExchange)); }
   void Remove(const std::shared_ptr<Connection>& aConnection) { connections_.erase(aConnection); }
 
@@ -240,7 +246,6 @@
   HttpServerInit init_;
   tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Connection>> connections_;
-  size_t pendingWrites_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -302,7 +307,7 @@
 
 void Connection::Consume()
 {
-  if (exchange_ || closed_ || unparsed_.empty()) {
+  if (exchange_ || closed_ || writing_ || unparsed_.empty()) {
     return;
   }
   const size_t used =
@@ -337,7 +342,6 @@
 void Connection::Write(std::string aBytes, bool aKeepAlive, bool aReset)
 {
   auto bytes = std::make_shared<std::string>(std::move(aBytes));
-  server_->CountWrite(1);
   writing_ = true;
   asio::async_write(
     socket_,
@@ -346,6 +350,7 @@
       if (self->closed_) {
         return;
       }
+      self->writing_ = false;
       self->exchange_.reset();
       if (aError || !aKeepAlive) {
         self->Shutdown(aReset);
@@ -368,7 +373,6 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
-  server_->CountWrite(writing_ ? -1 : 0);
   server_->Remove(self);
   if (auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->Closed();
