--- a/tests/support/upstream_model.cpp
+++ b/tests/support/upstream_model.cpp
@@ -407,6 +407,7 @@
   set("slots", settings_.slots);
   set("queue", settings_.queueLimit);
   set("cold_ms", settings_.coldMs);
+  set("drain_linger_ms", settings_.drainLingerMs);
   faultsSince_ = Now();
   Record("control", nullptr, aBody.dump());
   if (aBody.value("drain", false)) {
