Let one request in four ignore the preference for the own failure domain

Ruled out: dropping the preference (spill-over would then cross regions), accepting evidence from one domain (a broken path would eject a healthy upstream). Change: kAnyDomainInterval; log lines of decisions carry time, proxy and domain; the duplicate log line of a new configuration is gone.

--- a/packages/proxy/src/control.cpp
+++ b/packages/proxy/src/control.cpp
@@ -338,8 +338,7 @@
   }
   health_->Configure(configuration_, load_);
   healthReader_->Configure(configuration_);
-  Log(
-    LogLevel::Info, "configuration_in_force", { { "revision", aRevision }, { "digest", aDigest } });
+
   PublishSnapshot(Now());
 }
 
@@ -377,6 +376,9 @@
     aRecord.revision = sync_->Revision();
     aRecord.digest = sync_->Digest();
   }
+  aRecord.timeMs = WallClockMs();
+  aRecord.proxy = settings_.host;
+  aRecord.failureDomain = settings_.failureDomain;
   const std::string sentence = Describe(aRecord);
   const DecisionKind kind = aRecord.kind;
   const std::string service = aRecord.service;
--- a/packages/routing/src/balancer.cpp
+++ b/packages/routing/src/balancer.cpp
@@ -12,6 +12,10 @@
 /// and 25 ms requests turns its whole load over in about this time.
 constexpr Duration kReportHalfLife = Milliseconds(50);
 
+/// One request in this many ignores the preference for the own failure domain. Without it an
+/// upstream is seen from one domain only, and a verdict for all proxies needs evidence from two.
+constexpr uint64_t kAnyDomainInterval = 4;
+
 /// Smallest share of its normal traffic that a cold upstream gets.
 constexpr double kSlowStartFloor = 0.1;
 
@@ -233,6 +237,7 @@
   }
 
   uint64_t random = aRequest.random;
+  const bool anyDomain = NextRandom(random) % kAnyDomainInterval == 0;
   std::array<TierState, TierCount> tiers{};
   std::vector<UpstreamHandle> usable;
   for (const UpstreamHandle upstream : service.upstreams) {
@@ -248,7 +253,7 @@
     const bool skipped = SkipsForSlowStart(status, service.slowStart, aRequest.now, random);
     const bool isFree = load + 0.5 < service.slotsPerUpstream && !skipped;
     const bool isLocal =
-      aConfiguration.upstreams[upstream.idx].failureDomain == aRequest.localDomain;
+      anyDomain || aConfiguration.upstreams[upstream.idx].failureDomain == aRequest.localDomain;
     AddCandidate(tiers[TierOf(status, isFree, isLocal)], { upstream, load }, random);
   }
   if (aPolicy == BalancePolicy::RoundRobin) {
