Judge outcomes by the rates of their own time and weigh all other domains

Cause: the ten-times-slower stream waited for a single second domain to reach half of the threshold; and after a shared slow-down, local scores that were computed again from their counts jumped when the bad rate of the baseline fell. Ruled out: lowering the second-domain share, because one random failure would then confirm an upstream verdict for a fault of one path. Change: the domains other than the worst reach half of the threshold together; an avoided path contributes no estimated good outcomes; scores grow step by step; the baseline's bad rate includes the last seconds without the worst upstream; suspects seen by the aggregator's own proxy count for the guard, also when a verdict is confirmed; evidence carries the counts since the score was 0.

--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -46,11 +46,16 @@
   Milliseconds interval{ 0 }; ///< Time that the counts cover.
 };
 
-/// Normal behaviour of a service: medians over its upstreams.
+/// Normal behaviour of a service.
 struct ServiceBaseline
 {
-  double badRate = 0; ///< Share of bad outcomes (failed or slow).
-  Duration latency{ 0 };
+  /// Share of bad outcomes (failed or slow): the median over the upstreams or, when it is higher,
+  /// the share of the last seconds over all upstreams but the worst.
+  double badRate = 0;
+  Duration latency{ 0 }; ///< Median over the upstreams of their mean latencies.
+  /// Upstreams that are avoided or whose last outcome was bad. Many of them show a shared problem
+  /// before the tests of single upstreams do.
+  uint32_t suspects = 0;
   bool known = false; ///< False until enough outcomes were seen; nothing is slow before.
 };
 
@@ -89,6 +94,7 @@
   double scoreBefore = 0;
   EvidenceCounts counts;  ///< Reported since the last decision.
   double assumedGood = 0; ///< Good outcomes that the step counts, see PooledDetector.
+  EvidenceCounts total;   ///< Since the score was last 0; for the reader, not for the decision.
   uint32_t observers = 0; ///< Proxies that reported bad outcomes recently (lower bound).
   bool enoughObservers = true;
   bool avoided = false; ///< The path from this domain already has a verdict.
@@ -101,7 +107,7 @@
   double threshold = 0;
   double scoreBefore = 0;
   bool pooled = true;    ///< False: outcomes of one proxy only, gives a Local verdict.
-  uint32_t suspects = 0; ///< Upstreams of the service with a score over the threshold.
+  uint32_t suspects = 0; ///< Upstreams of the service that look bad, for the guard.
   uint32_t members = 0;  ///< Upstreams of the service.
   double maxBadFraction = 0.34;
   bool guardHeld = false; ///< The guard tripped a short time ago.
@@ -219,8 +225,11 @@
   uint32_t samples = 0;
   float badRate = 0;
   float latencyMs = 0;
+  float recentTotal = 0; ///< Outcomes of the last seconds, decayed.
+  float recentBad = 0;
   EvidenceCounts unreported;
-  EvidenceCounts recent; ///< Since the score was last 0; the score is a function of them.
+  double score = 0;
+  EvidenceCounts total; ///< Since the score was last 0.
   TimePoint lastReport{};
   ReadmissionState readmission;
 };
@@ -238,6 +247,7 @@
 {
   double score = 0;
   EvidenceCounts pending;
+  EvidenceCounts total;       ///< Since the score was last 0.
   double pendingGood = 0;     ///< Good outcomes of the last report interval.
   double reported = 0;        ///< Outcomes in reports, decayed.
   double reportedSeconds = 0; ///< Time covered by these reports, decayed.
@@ -262,6 +272,7 @@
 {
   ServiceMembers members;
   TestRates rates;
+  uint32_t localSuspects = 0; ///< ServiceBaseline::suspects
   TimePoint guardUntil{};
   bool guardHeld = false;
 };
@@ -313,8 +324,9 @@
 
 private:
   void RefreshBaseline(detail::LocalService& aService);
-  void Step(UpstreamHandle aUpstream, TimePoint aNow);
-  void Decide(UpstreamHandle aUpstream, TimePoint aNow);
+  double TakeRecentRate(const std::vector<uint16_t>& aMembers);
+  void Step(UpstreamHandle aUpstream, OutcomeClass aOutcome, TimePoint aNow);
+  void Judge(UpstreamHandle aUpstream, OutcomeClass aOutcome, double aScoreBefore, TimePoint aNow);
   void TripGuard(UpstreamHandle aUpstream, TimePoint aNow);
   void Emit(UpstreamHandle aUpstream, bool aAvoid, bool aGuarded);
   uint32_t CountSuspects(const detail::LocalService& aService) const;
@@ -358,7 +370,7 @@
   /// Live proxies per failure domain, indexed by handle. Needed to estimate how many good
   /// outcomes went unreported.
   void SetObservers(std::span<const uint32_t> aProxiesPerDomain);
-  /// Baseline from this proxy's own LocalDetector.
+  /// Baseline from this proxy's own LocalDetector, to be set before each Evaluate().
   void SetBaseline(ServiceHandle aService, const ServiceBaseline& aBaseline);
   /// Verdict of another aggregator; counts for the guard of the service.
   void SetRemoteVerdict(UpstreamHandle aUpstream, bool aAvoid);
@@ -397,6 +409,7 @@
   void Step(Index aUpstream, TimePoint aNow);
   void Act(Index aUpstream, TimePoint aNow);
   void Confirm(Index aUpstream, TimePoint aNow);
+  bool IsGuardDue(const detail::PooledService& aService) const;
   void TripGuard(Index aUpstream, TimePoint aNow);
   void EndGuards(TimePoint aNow);
   void Release(Index aUpstream);
--- a/packages/detection/src/evidence_values.cpp
+++ b/packages/detection/src/evidence_values.cpp
@@ -29,6 +29,9 @@
   aVisit(aPrefix + "failed", aDomain.counts.failed);
   aVisit(aPrefix + "slow", aDomain.counts.slow);
   aVisit(aPrefix + "assumed_good", aDomain.assumedGood);
+  aVisit(aPrefix + "total_good", aDomain.total.good);
+  aVisit(aPrefix + "total_failed", aDomain.total.failed);
+  aVisit(aPrefix + "total_slow", aDomain.total.slow);
   aVisit(aPrefix + "observers", aDomain.observers);
   aVisit(aPrefix + "enough_observers", aDomain.enoughObservers);
   aVisit(aPrefix + "avoided", aDomain.avoided);
--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -11,6 +11,10 @@
 constexpr uint32_t kBadRateHorizon = 256;
 constexpr uint32_t kLatencyHorizon = 32;
 
+/// Weight that the recent counts keep at each refresh of the baseline. A refresh follows after one
+/// outcome per upstream on average, so this is a horizon of three to four outcomes per upstream.
+constexpr float kRecentDecay = 0.75F;
+
 /// Outcomes after which an upstream counts for the medians.
 constexpr uint32_t kMinSamples = 5;
 
@@ -46,6 +50,8 @@
     MoveAverage(aCell.latencyMs, LatencyMs(aLatency), aCell.samples, kLatencyHorizon);
   }
   aCell.lastBad = IsBad(aOutcome);
+  aCell.recentTotal += 1;
+  aCell.recentBad += IsBad(aOutcome) ? 1 : 0;
 }
 
 void Count(EvidenceCounts& aCounts, OutcomeClass aOutcome)
@@ -104,7 +110,8 @@
   detail::LocalService& service = services_[cell.service];
   if (cell.readmission.Excluded() &&
       cell.readmission.ObserveTrial(service.members.readmission, aOutcome, aNow)) {
-    cell.recent = {};
+    cell.total = {};
+    cell.score = 0;
     cell.lastBad = false;
     Emit(aUpstream, false, false);
   }
@@ -116,7 +123,7 @@
   }
   Learn(cell, aOutcome, aLatency);
   Count(cell.unreported, aOutcome);
-  Count(cell.recent, aOutcome);
+  Count(cell.total, aOutcome);
   if (IsBad(aOutcome) && !cell.reportQueued) {
     cell.reportQueued = true;
     reportQueue_.push_back(aUpstream.idx);
@@ -124,13 +131,14 @@
   if (service.untilRefresh-- == 0) {
     RefreshBaseline(service);
   }
-  Step(aUpstream, aNow);
+  Step(aUpstream, aOutcome, aNow);
 }
 
 void LocalDetector::RefreshBaseline(detail::LocalService& aService)
 {
   const std::vector<uint16_t>& members = aService.members.upstreams;
   aService.untilRefresh = static_cast<uint32_t>(members.size());
+  const double recentRate = TakeRecentRate(members);
   scratch_.clear();
   for (const uint16_t upstream : members) {
     if (cells_[upstream].samples >= kMinSamples) {
@@ -140,7 +148,8 @@
   if (scratch_.empty() || scratch_.size() * 2 < members.size()) {
     return;
   }
-  aService.baseline.badRate = LowerMedian(scratch_);
+  const double median = LowerMedian(scratch_);
+  aService.baseline.badRate = std::max(median, recentRate);
   scratch_.clear();
   for (const uint16_t upstream : members) {
     if (cells_[upstream].samples >= kMinSamples) {
@@ -154,37 +163,69 @@
   aService.slowLimit = std::max<Duration>(init_.slowFloor, Duration(limit));
 }
 
-void LocalDetector::Step(UpstreamHandle aUpstream, TimePoint aNow)
+double LocalDetector::TakeRecentRate(const std::vector<uint16_t>& aMembers)
+{
+  float total = 0;
+  float bad = 0;
+  uint16_t worst = UINT16_MAX;
+  for (const uint16_t upstream : aMembers) {
+    total += cells_[upstream].recentTotal;
+    bad += cells_[upstream].recentBad;
+    if (worst == UINT16_MAX || cells_[upstream].recentBad > cells_[worst].recentBad) {
+      worst = upstream;
+    }
+  }
+  // A single bad upstream must not raise the rate that it is compared with.
+  if (worst != UINT16_MAX) {
+    total -= cells_[worst].recentTotal;
+    bad -= cells_[worst].recentBad;
+  }
+  for (const uint16_t upstream : aMembers) {
+    cells_[upstream].recentTotal *= kRecentDecay;
+    cells_[upstream].recentBad *= kRecentDecay;
+  }
+  return total >= 1 ? bad / total : 0;
+}
+
+void LocalDetector::Step(UpstreamHandle aUpstream, OutcomeClass aOutcome, TimePoint aNow)
 {
   detail::LocalCell& cell = cells_[aUpstream.idx];
   const detail::LocalService& service = services_[cell.service];
-  const TestRates rates = RatesFor(service.baseline);
-  // The score has not been 0 since "recent" began, so it is the plain sum of the ratios.
-  const double score = NextScore(0, rates, cell.recent.good, cell.recent.Bad());
-  if (score == 0) {
-    cell.recent = {};
-  } else if (score >= service.members.config.threshold && !cell.readmission.Excluded()) {
-    Decide(aUpstream, aNow);
+  const double before = cell.score;
+  const int bad = IsBad(aOutcome) ? 1 : 0;
+  // Each outcome is judged by the rates of its own time. Judging earlier ones again would turn
+  // outcomes of a shared slow-down into a verdict as soon as the baseline has recovered.
+  cell.score = NextScore(before, RatesFor(service.baseline), 1 - bad, bad);
+  if (cell.score == 0) {
+    cell.total = {};
+  } else if (cell.score >= service.members.config.threshold && !cell.readmission.Excluded()) {
+    Judge(aUpstream, aOutcome, before, aNow);
   }
 }
 
-void LocalDetector::Decide(UpstreamHandle aUpstream, TimePoint aNow)
+void LocalDetector::Judge(UpstreamHandle aUpstream,
+                          OutcomeClass aOutcome,
+                          double aScoreBefore,
+                          TimePoint aNow)
 {
   detail::LocalCell& cell = cells_[aUpstream.idx];
   const detail::LocalService& service = services_[cell.service];
   evidence_.rates = RatesFor(service.baseline);
   evidence_.threshold = service.members.config.threshold;
-  evidence_.scoreBefore = 0;
+  evidence_.scoreBefore = aScoreBefore;
   evidence_.pooled = false;
   evidence_.suspects = CountSuspects(service);
   evidence_.members = static_cast<uint32_t>(service.members.upstreams.size());
   evidence_.maxBadFraction = service.members.config.maxBadFraction;
   evidence_.guardHeld = aNow < service.guardUntil;
   evidence_.domains.assign(1, {});
-  evidence_.domains[0].counts = cell.recent;
-  evidence_.domains[0].assumedGood = cell.recent.good;
-  evidence_.domains[0].observers = 1;
-  detection::Decide(evidence_, decision_);
+  DomainEvidence& domain = evidence_.domains[0];
+  domain.scoreBefore = aScoreBefore;
+  Count(domain.counts, aOutcome);
+  domain.assumedGood = domain.counts.good;
+  domain.total = cell.total;
+  domain.observers = 1;
+  Decide(evidence_, decision_);
   if (decision_.scope == VerdictScope::None) {
     return;
   }
@@ -223,7 +264,8 @@
   // Evidence gathered during a shared problem says nothing about a single upstream.
   for (const uint16_t upstream : service.members.upstreams) {
     detail::LocalCell& cell = cells_[upstream];
-    cell.recent = {};
+    cell.total = {};
+    cell.score = 0;
     if (cell.readmission.Excluded() && aNow - cell.readmission.Since() < init_.guardHold) {
       cell.readmission.Revoke();
       Emit(UpstreamHandle{ upstream }, false, false);
@@ -251,7 +293,12 @@
 
 ServiceBaseline LocalDetector::Baseline(ServiceHandle aService) const
 {
-  return aService.idx < services_.size() ? services_[aService.idx].baseline : ServiceBaseline{};
+  if (aService.idx >= services_.size()) {
+    return {};
+  }
+  ServiceBaseline baseline = services_[aService.idx].baseline;
+  baseline.suspects = CountSuspects(services_[aService.idx]);
+  return baseline;
 }
 
 bool LocalDetector::IsAvoided(UpstreamHandle aUpstream) const
--- a/packages/detection/src/pooled_detector.cpp
+++ b/packages/detection/src/pooled_detector.cpp
@@ -70,6 +70,7 @@
 {
   if (aService.idx < services_.size()) {
     services_[aService.idx].rates = RatesFor(aBaseline);
+    services_[aService.idx].localSuspects = aBaseline.suspects;
   }
 }
 
@@ -130,8 +131,9 @@
                                    size_t aDomain,
                                    double aSeconds) const
 {
-  if (aCell.reportedSeconds == 0) {
-    return 0;
+  if (aCell.avoided) {
+    return aCell
+      .pendingGood; // The estimate is from before the verdict; little work goes there now.
   }
   const double perSecond = observers_[aDomain] * aCell.reported / aCell.reportedSeconds;
   return std::max(perSecond * aSeconds - aCell.pending.Bad(), aCell.pendingGood);
@@ -160,6 +162,8 @@
     domain.domain.idx = static_cast<uint16_t>(d);
     domain.scoreBefore = cell.score;
     domain.counts = cell.pending;
+    cell.total += cell.pending;
+    domain.total = cell.total;
     domain.assumedGood = AssumedGood(cell, d, seconds);
     domain.observers = static_cast<uint32_t>(std::popcount(cell.observerBits));
     // One proxy with a broken network must not speak for its whole domain.
@@ -185,6 +189,7 @@
     cell.score = decision_.domainScores[i];
     if (cell.score == 0) {
       cell.observerBits = 0;
+      cell.total = {};
     }
   }
   if (decision_.scope != VerdictScope::None) {
@@ -222,6 +227,13 @@
       aNow - upstream.verdictAt < init_.confirmation) {
     return;
   }
+  if (IsGuardDue(services_[upstream.service])) {
+    CollectEvidence(aUpstream, aNow);
+    evidence_.suspects = CountSuspects(services_[upstream.service]);
+    decision_.scope = upstream.scope;
+    TripGuard(aUpstream, aNow);
+    return;
+  }
   upstream.confirmed = true;
   if (auto node = unconfirmed_.extract(aUpstream)) {
     node.mapped().confirmed = true;
@@ -290,8 +302,10 @@
 {
   upstreams_[aUpstream].score = 0;
   for (size_t d = 0; d < domains_; ++d) {
-    Cell(aUpstream, d).score = 0;
-    Cell(aUpstream, d).observerBits = 0;
+    detail::PooledCell& cell = Cell(aUpstream, d);
+    cell.score = 0;
+    cell.observerBits = 0;
+    cell.total = {};
   }
 }
 
@@ -317,7 +331,14 @@
                   ? 1
                   : 0;
   }
-  return suspects;
+  return std::max(suspects, aService.localSuspects);
+}
+
+bool PooledDetector::IsGuardDue(const detail::PooledService& aService) const
+{
+  return TooManySuspects(CountSuspects(aService),
+                         static_cast<uint32_t>(aService.members.upstreams.size()),
+                         aService.members.config.maxBadFraction);
 }
 
 bool PooledDetector::IsQuiet(uint16_t aUpstream) const
--- a/packages/detection/src/sequential_test.cpp
+++ b/packages/detection/src/sequential_test.cpp
@@ -12,30 +12,32 @@
 constexpr double kMaxNormalRate = 0.45;
 constexpr double kUnhealthyRate = 0.35;
 
-/// Share of the threshold that a second domain must reach to confirm an Upstream verdict. Half of
-/// it cannot come from a single random failure.
-constexpr double kSecondDomainShare = 0.5;
+/// Share of the threshold that all domains but the worst must reach together for an Upstream
+/// verdict. At usual thresholds it takes at least two bad outcomes in quick succession.
+constexpr double kOtherDomainsShare = 0.5;
 
 struct DomainSummary
 {
-  uint32_t supporting = 0;
-  size_t worst = SIZE_MAX;
+  size_t path = SIZE_MAX; ///< Domain for which a path verdict may be given.
+  double othersScore = 0; ///< All domains but the worst; one with a path verdict is the worst.
 };
 
 DomainSummary Summarize(const VerdictEvidence& aEvidence, const Decision& aDecision)
 {
   DomainSummary summary;
+  double total = 0;
+  std::pair<bool, double> worst{ false, 0 };
   for (size_t i = 0; i < aEvidence.domains.size(); ++i) {
     const DomainEvidence& domain = aEvidence.domains[i];
     const double score = aDecision.domainScores[i];
-    if (domain.avoided || score >= aEvidence.threshold * kSecondDomainShare) {
-      ++summary.supporting;
-    }
-    if (score >= aEvidence.threshold && domain.enoughObservers && !domain.avoided &&
-        (summary.worst == SIZE_MAX || score > aDecision.domainScores[summary.worst])) {
-      summary.worst = i;
+    total += score;
+    worst = std::max(worst, std::pair(domain.avoided, score));
+    if (!domain.avoided && domain.enoughObservers && score >= aEvidence.threshold &&
+        (summary.path == SIZE_MAX || score > aDecision.domainScores[summary.path])) {
+      summary.path = i;
     }
   }
+  summary.othersScore = total - worst.second;
   return summary;
 }
 
@@ -113,11 +115,12 @@
     return;
   }
   const DomainSummary summary = Summarize(aEvidence, aDecision);
-  if (aDecision.score >= aEvidence.threshold && summary.supporting >= 2) {
+  if (aDecision.score >= aEvidence.threshold &&
+      summary.othersScore >= aEvidence.threshold * kOtherDomainsShare) {
     aDecision.scope = VerdictScope::Upstream;
-  } else if (summary.worst != SIZE_MAX) {
+  } else if (summary.path != SIZE_MAX) {
     aDecision.scope = VerdictScope::Path;
-    aDecision.domain = aEvidence.domains[summary.worst].domain;
+    aDecision.domain = aEvidence.domains[summary.path].domain;
   }
 }
 
