--- a/packages/coordination/include/boragegauge/coordination.h
+++ b/packages/coordination/include/boragegauge/coordination.h
@@ -135,7 +135,6 @@
   PeerSender* sender = nullptr;
   Platform* platform = nullptr;
   ClockHook now = nullptr;
-  PeersHook livePeers = nullptr;
   /// Problem of a body whose digest is right; empty when it is valid.
   std::function<std::string(std::string_view aBody)> validate = nullptr;
   std::function<void(uint64_t aRevision, const std::string& aDigest, const std::string& aBody)>
@@ -145,6 +144,7 @@
   Milliseconds maxBackoff{ 4000 };
   Milliseconds callDeadline{ 800 };
   Milliseconds isolationLimit{ 4000 }; ///< Not ready when cut off for longer.
+  Milliseconds startupWait{ 1500 };    ///< Not ready earlier: each peer's heartbeat can arrive.
   bool testAllowLower = false;         ///< Test only: adopts lower revisions.
   bool testAllowFork = false;          ///< Test only: adopts another digest of the same revision.
 };
@@ -237,6 +237,7 @@
   bool testIgnoreFloor = false;      ///< Test only: grants and applies without the floor check.
   bool testIgnoreLease = false;      ///< Test only: applies and renews ejections after expiry.
   bool testUnconditional = false;    ///< Test only: commits without the row's version.
+  bool testFreeReleased = false;     ///< Test only: a released entry frees capacity at once.
 };
 
 struct EjectionPermitsStats
@@ -314,7 +315,7 @@
   Milliseconds retryInterval{ 500 };    ///< Of outcomes and withdrawals.
   Milliseconds outcomeLimit{ 600000 };  ///< Outcomes not stored by then are given up.
   Milliseconds sweepInterval{ 2000 };   ///< One 1/256 part of a service's keys is read each time.
-  size_t sweepLimit = 8;                ///< Rows deleted per interval.
+  size_t sweepLimit = 16;               ///< Rows deleted per interval, in one commit.
   size_t maxWaiting = 1024;             ///< Claims in progress; more get StoreUnavailable.
   bool testTrustLostResponse = false;   ///< Test only: takes a lost response as a won claim.
   bool testIgnoreExistingClaim = false; ///< Test only: commits without the condition.
@@ -341,7 +342,8 @@
 
   void Tick(TimePoint aNow);
 
-  /// Claims a key. The callback is called once, at the deadline at the latest (by Tick()).
+  /// Claims a key. The callback is called once, at the deadline at the latest (by Tick()), and
+  /// possibly before Claim() returns.
   void Claim(ClaimRequest aRequest, TimePoint aDeadline, Callback aCallback);
 
   /// Stores the response to a claimed request; retried until outcomeLimit.
