Keep the counting allocation functions out of line

Cause: with AddressSanitizer the compiler inlined the deallocation function and warned about a mismatched pair. Change: both are noinline.

--- a/packages/detection/tests/allocation_test.cpp
+++ b/packages/detection/tests/allocation_test.cpp
@@ -11,7 +11,8 @@
 
 } // namespace
 
-void* operator new(size_t aSize)
+// Not inlined, so that the compiler does not pair free() with the operator new of a caller.
+[[gnu::noinline]] void* operator new(size_t aSize)
 {
   ++gAllocations;
   if (void* memory = std::malloc(aSize)) {
@@ -20,12 +21,12 @@
   throw std::bad_alloc();
 }
 
-void operator delete(void* aMemory) noexcept
+[[gnu::noinline]] void operator delete(void* aMemory) noexcept
 {
   std::free(aMemory);
 }
 
-void operator delete(void* aMemory, size_t) noexcept
+[[gnu::noinline]] void operator delete(void* aMemory, size_t) noexcept
 {
   std::free(aMemory);
 }
