--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -1,5 +1,4 @@
 #include <ostream>
-#include <thread>
 
 #include <CLI/CLI.hpp>
 
@@ -75,7 +74,7 @@
     ApplyInit init;
     init.platform = &*platform_;
     init.queryProxies = session_.queryProxies;
-    init.pause = [](Milliseconds aTime) { std::this_thread::sleep_for(aTime); };
+    init.pause = init_.pause;
     init.skipUnreachable = options_.skipUnreachable;
     auto result = Applier(std::move(init)).Apply(LoadConfigurationFolder(options_.folder), *base);
     if (result.code == ExitCode::Ok) {
@@ -98,7 +97,11 @@
     if (!entries)
       return Fail(ExitCode::Unreachable, ToString(entries.Failure()));
     printer_.History(*entries);
-    const auto failed = [](const auto& aEntry) { return aEntry.error.has_value(); };
+    // A missing row is shown but is no failure: proxies that restore a head write no rows for the
+    // revisions before it.
+    const auto failed = [](const HistoryEntry& aEntry) {
+      return aEntry.error && aEntry.error->code != Errc::NotFound;
+    };
     return std::ranges::any_of(*entries, failed) ? ExitCode::Unreachable : ExitCode::Ok;
   }
 
