Replace silent peer connections and bound what a DEALER receives

Change: the connecting side sends ZMTP heartbeats every 2 s (9 bytes, answered by 7), limits for the handshake on both sides, TCP keep-alive on the receiving side, limits for unexpected messages, and a socket limit for kMaxPeers.

--- a/packages/peering/include/boragegauge/peering.h
+++ b/packages/peering/include/boragegauge/peering.h
@@ -14,7 +14,7 @@
   uint64_t messagesReceived = 0;
   uint64_t bytesSent = 0;
   uint64_t bytesReceived = 0;
-  uint64_t dropped = 0; ///< Unknown peer, full queue, too old or too large.
+  uint64_t dropped = 0; ///< Unknown or unconnected peer, or its queue was full.
 };
 
 /// Datagram-like messages between proxies: unordered between peers, may be lost, never blocks.
@@ -36,13 +36,11 @@
   EventLoop* loop = nullptr;
   std::string address = "127.0.0.1";
   uint16_t port = 0; ///< 0: chosen by the system.
-  /// Interval of ZMTP heartbeats; a connection that is silent for silenceTimeout is replaced.
-  Duration heartbeatInterval = std::chrono::seconds(1);
-  Duration silenceTimeout = std::chrono::seconds(3);
-  /// Messages that cannot be sent at once wait this long for a connection, then they are dropped:
-  /// evidence that arrives later would describe the past.
-  Duration maxQueueTime = std::chrono::seconds(1);
   std::function<void(std::string_view aBytes)> onMessage{};
+  /// A connection that was silent for silenceTimeout is closed and opened anew. Each peer costs
+  /// 16 bytes per heartbeatInterval.
+  Duration heartbeatInterval = std::chrono::seconds(2);
+  Duration silenceTimeout = std::chrono::seconds(4);
 };
 
 /// Fails with Unavailable when the address cannot be bound.
--- a/packages/peering/src/zmq_transport.cpp
+++ b/packages/peering/src/zmq_transport.cpp
@@ -1,329 +1,261 @@
+#include <cerrno>
+#include <map>
+
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <zmq.hpp>
 
-#include <deque>
-#include <map>
-
 #include "boragegauge/peering.h"
 
 namespace bg {
 
 namespace {
 
-/// Messages queued for one peer, in ZeroMQ and again in the waiting list.
-constexpr int kMaxQueuedMessages = 64;
-
-/// Messages received from one peer and not yet handled.
-constexpr int kMaxReceivedMessages = 256;
-
-/// Messages handled before other work of the loop gets its turn.
-constexpr int kMessagesPerEvent = 64;
+/// Messages queued for one peer before new ones are dropped.
+constexpr int kSendQueue = 1000;
+constexpr int kReceiveQueue = 10000;
+constexpr int kKeepaliveSeconds = 10;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 2000;
 
-/// Bytes that wait for a connection to one peer.
-constexpr size_t kMaxWaitingBytes = kMaxPeerMessageBytes;
-
-/// Nothing is sent to a DEALER, so that larger messages can only be an error.
+/// A DEALER receives nothing but heartbeats; larger messages can only be an error.
 constexpr int64_t kMaxUnexpectedBytes = 256;
 
-constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 2000;
-constexpr auto kRetryInterval = std::chrono::milliseconds(10);
+/// Covers kMaxPeers; the library's default is 1023.
+constexpr int kMaxSockets = static_cast<int>(kMaxPeers) + 64;
 
-/// Covers kMaxPeers; ZeroMQ's default is 1023.
-constexpr int kMaxSockets = 2 * static_cast<int>(kMaxPeers);
+/// Messages handled before other work of the loop gets its turn.
+constexpr int kReceiveBatch = 256;
 
-int ToMs(Duration aDuration)
+std::string Endpoint(std::string_view aAddress, std::string_view aPort)
 {
-  return static_cast<int>(std::chrono::ceil<Milliseconds>(aDuration).count());
+  const bool isIpv6 = aAddress.find(':') != std::string_view::npos;
+  std::string endpoint = "tcp://";
+  endpoint += isIpv6 ? "[" + std::string(aAddress) + "]" : std::string(aAddress);
+  return endpoint + ":" + std::string(aPort);
 }
 
-std::string Endpoint(std::string_view aAddress, const std::string& aPort)
+int ToMs(Duration aDuration)
 {
-  const std::string address(aAddress);
-  const bool v6 = address.find(':') != std::string::npos;
-  return "tcp://" + (v6 ? "[" + address + "]" : address) + ":" + aPort;
+  return static_cast<int>(std::chrono::ceil<Milliseconds>(aDuration).count());
 }
 
-/// Options of both socket types. Heartbeats and keep-alive find connections that have silently
-/// stopped working; they are closed and, by a DEALER, opened again.
-void SetCommonOptions(zmq::socket_t& aSocket, const PeerTransportInit& aInit)
+/// Finds connections that have gone silent. TCP's limit for unacknowledged data misses those that
+/// a middle box still acknowledges; the library's heartbeats find both. Only the connecting side
+/// sends heartbeats, which halves their cost; they state how long the other side may wait.
+void SetSilenceLimits(zmq::socket_t& aSocket, const PeerTransportInit& aInit)
 {
-  aSocket.set(zmq::sockopt::linger, 0);
-  aSocket.set(zmq::sockopt::ipv6, true);
+  const int limit = ToMs(aInit.silenceTimeout);
   aSocket.set(zmq::sockopt::heartbeat_ivl, ToMs(aInit.heartbeatInterval));
-  aSocket.set(zmq::sockopt::heartbeat_timeout, ToMs(aInit.silenceTimeout));
-  aSocket.set(zmq::sockopt::handshake_ivl, ToMs(aInit.silenceTimeout));
-  aSocket.set(zmq::sockopt::tcp_keepalive, 1);
-  aSocket.set(zmq::sockopt::tcp_keepalive_idle, 10);
-  aSocket.set(zmq::sockopt::tcp_keepalive_intvl, 5);
-  aSocket.set(zmq::sockopt::tcp_keepalive_cnt, 3);
+  aSocket.set(zmq::sockopt::heartbeat_timeout, limit);
+  aSocket.set(zmq::sockopt::heartbeat_ttl, limit);
+  aSocket.set(zmq::sockopt::handshake_ivl, limit);
+  aSocket.set(zmq::sockopt::connect_timeout, limit);
+  aSocket.set(zmq::sockopt::tcp_maxrt, limit);
 }
 
-/// A message that waits for a connection.
-struct Waiting
+/// Applies to sockets that are created afterwards.
+zmq::context_t& WithSocketLimit(zmq::context_t& aContext)
 {
-  TimePoint since;
-  std::string bytes;
-};
+  aContext.set(zmq::ctxopt::max_sockets, kMaxSockets);
+  return aContext;
+}
 
 struct Peer
 {
   std::string endpoint;
   zmq::socket_t socket;
-  std::deque<Waiting> waiting;
-  size_t waitingBytes = 0;
 };
 
-class ZmqTransport : public std::enable_shared_from_this<ZmqTransport>
+/// Receives through a watched ROUTER socket; shared so that a pending wait outlives the transport.
+class Receiver : public std::enable_shared_from_this<Receiver>
 {
 public:
-  explicit ZmqTransport(PeerTransportInit aInit)
-    : init_(std::move(aInit))
-    , router_(MakeContext(context_), zmq::socket_type::router)
-    , descriptor_(init_.loop->Context())
+  Receiver(zmq::context_t& aZmq, const PeerTransportInit& aInit)
+    : socket_(aZmq, zmq::socket_type::router)
+    , descriptor_(aInit.loop->Context())
+    , onMessage_(aInit.onMessage)
   {
-    SetCommonOptions(router_, init_);
-    router_.set(zmq::sockopt::rcvhwm, kMaxReceivedMessages);
-    router_.set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMaxPeerMessageBytes));
-    router_.bind(Endpoint(init_.address, init_.port == 0 ? "*" : std::to_string(init_.port)));
-    const std::string bound = router_.get(zmq::sockopt::last_endpoint);
-    port_ = static_cast<uint16_t>(std::stoul(bound.substr(bound.rfind(':') + 1)));
-    descriptor_.assign(router_.get(zmq::sockopt::fd));
+    socket_.set(zmq::sockopt::handshake_ivl, ToMs(aInit.silenceTimeout));
+    socket_.set(zmq::sockopt::linger, 0);
+    socket_.set(zmq::sockopt::ipv6, true);
+    socket_.set(zmq::sockopt::rcvhwm, kReceiveQueue);
+    socket_.set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(kMaxPeerMessageBytes));
+    socket_.set(zmq::sockopt::tcp_keepalive, 1);
+    socket_.set(zmq::sockopt::tcp_keepalive_idle, kKeepaliveSeconds);
+    socket_.set(zmq::sockopt::tcp_keepalive_intvl, kKeepaliveSeconds);
+    socket_.set(zmq::sockopt::tcp_keepalive_cnt, 3);
   }
 
-  ~ZmqTransport() { Stop(); }
-  ZmqTransport(const ZmqTransport&) = delete;
-  ZmqTransport& operator=(const ZmqTransport&) = delete;
+  uint16_t Bind(std::string_view aAddress, uint16_t aPort)
+  {
+    socket_.bind(Endpoint(aAddress, aPort == 0 ? "*" : std::to_string(aPort)));
+    descriptor_.assign(socket_.get(zmq::sockopt::fd));
+    const std::string bound = socket_.get(zmq::sockopt::last_endpoint);
+    return static_cast<uint16_t>(std::stoi(bound.substr(bound.rfind(':') + 1)));
+  }
 
-  /// ZMQ_FD only says that ZMQ_EVENTS may have changed, and says so once: messages are received
-  /// until there are none before it is waited for again.
-  void WaitForMessages()
+  void Wait()
   {
-    descriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
-                           [weak = weak_from_this()](const std::error_code& aError) {
-                             const auto self = weak.lock();
-                             if (!aError && self) {
-                               self->ReceiveMessages();
+    descriptor_.async_wait(asio::posix::descriptor_base::wait_read,
+                           [self = shared_from_this()](const std::error_code& aError) {
+                             if (!aError && !self->isClosed_) {
+                               self->Drain();
                              }
                            });
   }
 
-  /// The descriptor belongs to ZeroMQ and is only released.
-  void Stop()
+  void Close()
   {
-    if (std::exchange(stopped_, true)) {
-      return;
-    }
+    isClosed_ = true;
+    // The descriptor belongs to ZeroMQ.
     descriptor_.release();
-    retryTimer_.reset();
-    peers_.clear();
-    router_.close();
+    socket_.close();
   }
 
-  void SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t aPort);
-  void RemovePeer(std::string_view aHost);
-  void Send(std::string_view aHost, std::string_view aBytes);
-  uint16_t Port() const { return port_; }
-  PeerTransportStats Stats() const { return stats_; }
+  uint64_t Messages() const { return messages_; }
+  uint64_t Bytes() const { return bytes_; }
 
 private:
-  static zmq::context_t& MakeContext(zmq::context_t& aContext)
+  /// The descriptor is edge-triggered: it must not be waited for while messages are left.
+  void Drain()
   {
-    aContext.set(zmq::ctxopt::max_sockets, kMaxSockets);
-    return aContext;
-  }
-
-  void ReceiveMessages();
-  bool ReceiveOne();
-  bool TrySend(Peer& aPeer, std::string_view aBytes);
-  void SendWaiting(Peer& aPeer);
-  void RetryAll();
-
-  PeerTransportInit init_;
-  zmq::context_t context_;
-  zmq::socket_t router_;
-  asio::posix::stream_descriptor descriptor_;
-  uint16_t port_ = 0;
-  bool stopped_ = false;
-  PeerTransportStats stats_;
-  std::map<std::string, Peer, std::less<>> peers_;
-  std::unique_ptr<EventLoop::Timer> retryTimer_;
-};
-
-void ZmqTransport::ReceiveMessages()
-{
-  for (int i = 0; i < kMessagesPerEvent && !stopped_; ++i) {
-    if (!ReceiveOne()) {
-      if (!stopped_) {
-        WaitForMessages();
+    for (int i = 0; i < kReceiveBatch; ++i) {
+      if (!ReceiveOne()) {
+        if (!isClosed_) {
+          Wait();
+        }
+        return;
       }
-      return;
     }
+    asio::post(descriptor_.get_executor(), [self = shared_from_this()] {
+      if (!self->isClosed_) {
+        self->Drain();
+      }
+    });
   }
-  asio::post(init_.loop->Context(), [weak = weak_from_this()] {
-    if (const auto self = weak.lock(); self && !self->stopped_) {
-      self->ReceiveMessages();
-    }
-  });
-}
 
-/// False when there is no message left.
-bool ZmqTransport::ReceiveOne()
-{
-  zmq::message_t sender;
-  zmq::message_t payload;
-  if (!router_.recv(sender, zmq::recv_flags::dontwait)) {
-    return false;
-  }
-  size_t frames = 1;
-  bool more = sender.more();
-  while (more) {
+  bool ReceiveOne()
+  {
     zmq::message_t frame;
-    if (!router_.recv(frame, zmq::recv_flags::dontwait)) {
+    if (isClosed_ || !socket_.recv(frame, zmq::recv_flags::dontwait)) {
       return false;
     }
-    more = frame.more();
-    payload = std::move(frame);
-    ++frames;
-  }
-  // Peers of this version send one frame; anything else is not theirs.
-  if (frames == 2) {
-    ++stats_.messagesReceived;
-    stats_.bytesReceived += payload.size();
-    init_.onMessage(payload.to_string_view());
+    // The first frame is the sender's routing id; a message has exactly one more.
+    zmq::message_t body;
+    size_t frames = 1;
+    while (socket_.get(zmq::sockopt::rcvmore) != 0) {
+      zmq::message_t next;
+      if (!socket_.recv(next, zmq::recv_flags::dontwait)) {
+        break;
+      }
+      if (++frames == 2) {
+        body = std::move(next);
+      }
+    }
+    if (frames == 2) {
+      ++messages_;
+      bytes_ += body.size();
+      onMessage_(body.to_string_view());
+    }
+    return true;
   }
-  return true;
-}
 
-void ZmqTransport::SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t aPort)
+  zmq::socket_t socket_;
+  asio::posix::stream_descriptor descriptor_;
+  std::function<void(std::string_view)> onMessage_;
+  uint64_t messages_ = 0;
+  uint64_t bytes_ = 0;
+  bool isClosed_ = false;
+};
+
+class ZmqPeerTransport : public PeerTransport
 {
-  std::string endpoint = Endpoint(aAddress, std::to_string(aPort));
-  const auto found = peers_.find(aHost);
-  if (found != peers_.end() && found->second.endpoint == endpoint) {
-    return;
+public:
+  explicit ZmqPeerTransport(PeerTransportInit aInit)
+    : init_(std::move(aInit))
+    , receiver_(std::make_shared<Receiver>(WithSocketLimit(context_), init_))
+    , port_(receiver_->Bind(init_.address, init_.port))
+  {
+    receiver_->Wait();
   }
-  try {
+
+  ~ZmqPeerTransport() override
+  {
+    receiver_->Close();
+    peers_.clear();
+  }
+  ZmqPeerTransport(const ZmqPeerTransport&) = delete;
+  ZmqPeerTransport& operator=(const ZmqPeerTransport&) = delete;
+
+  void SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t aPort) override
+  {
+    std::string endpoint = Endpoint(aAddress, std::to_string(aPort));
+    const auto known = peers_.find(aHost);
+    if (known != peers_.end() && known->second.endpoint == endpoint) {
+      return;
+    }
     zmq::socket_t socket(context_, zmq::socket_type::dealer);
-    SetCommonOptions(socket, init_);
-    socket.set(zmq::sockopt::sndhwm, kMaxQueuedMessages);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::ipv6, true);
+    socket.set(zmq::sockopt::sndhwm, kSendQueue);
+    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
     socket.set(zmq::sockopt::rcvhwm, 1);
     socket.set(zmq::sockopt::maxmsgsize, kMaxUnexpectedBytes);
-    // Without a connection ZeroMQ queues nothing, so that no old messages arrive after a break.
+    SetSilenceLimits(socket, init_);
+    // Nothing is queued for a peer that is not connected: old messages would mislead it later.
     socket.set(zmq::sockopt::immediate, true);
-    socket.set(zmq::sockopt::connect_timeout, ToMs(init_.silenceTimeout));
-    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
-    socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
-    socket.connect(endpoint);
-    peers_.insert_or_assign(std::string(aHost),
-                            Peer{ std::move(endpoint), std::move(socket), {}, 0 });
-  } catch (const zmq::error_t& error) {
-    Log(LogLevel::Error,
-        "peer_connect_failed",
-        { { "host", aHost }, { "endpoint", endpoint }, { "error", error.what() } });
-  }
-}
-
-void ZmqTransport::RemovePeer(std::string_view aHost)
-{
-  if (const auto found = peers_.find(aHost); found != peers_.end()) {
-    peers_.erase(found);
-  }
-}
-
-bool ZmqTransport::TrySend(Peer& aPeer, std::string_view aBytes)
-{
-  try {
-    if (!aPeer.socket.send(zmq::buffer(aBytes), zmq::send_flags::dontwait)) {
-      return false;
+    try {
+      socket.connect(endpoint);
+    } catch (const zmq::error_t& error) {
+      Log(LogLevel::Warning,
+          "peer_connect_failed",
+          { { "step", "peer.connect" },
+            { "peer", aHost },
+            { "endpoint", endpoint },
+            { "error", error.what() } });
+      return;
     }
-  } catch (const zmq::error_t&) { // Also an error of the connection; the message stays queued.
-    return false;
+    peers_.insert_or_assign(std::string(aHost), Peer{ std::move(endpoint), std::move(socket) });
   }
-  ++stats_.messagesSent;
-  stats_.bytesSent += aBytes.size();
-  return true;
-}
 
-void ZmqTransport::Send(std::string_view aHost, std::string_view aBytes)
-{
-  const auto found = peers_.find(aHost);
-  if (found == peers_.end() || aBytes.size() > kMaxPeerMessageBytes) {
-    ++stats_.dropped;
-    return;
-  }
-  Peer& peer = found->second;
-  SendWaiting(peer);
-  if (peer.waiting.empty() && TrySend(peer, aBytes)) {
-    return;
-  }
-  if (peer.waiting.size() >= kMaxQueuedMessages ||
-      peer.waitingBytes + aBytes.size() > kMaxWaitingBytes) {
-    ++stats_.dropped;
-    return;
-  }
-  peer.waiting.push_back({ Now(), std::string(aBytes) });
-  peer.waitingBytes += aBytes.size();
-  if (!retryTimer_) {
-    retryTimer_ = init_.loop->RunEvery(kRetryInterval, [this] { RetryAll(); });
+  void RemovePeer(std::string_view aHost) override
+  {
+    if (const auto found = peers_.find(aHost); found != peers_.end()) {
+      peers_.erase(found);
+    }
   }
-}
 
-/// Sends what can be sent and drops what has waited too long.
-void ZmqTransport::SendWaiting(Peer& aPeer)
-{
-  const TimePoint oldest = Now() - init_.maxQueueTime;
-  while (!aPeer.waiting.empty()) {
-    const Waiting& first = aPeer.waiting.front();
-    if (first.since < oldest) {
-      ++stats_.dropped;
-    } else if (!TrySend(aPeer, first.bytes)) {
+  void Send(std::string_view aHost, std::string_view aBytes) override
+  {
+    const auto found = peers_.find(aHost);
+    if (found == peers_.end() || aBytes.size() > kMaxPeerMessageBytes ||
+        !found->second.socket.send(zmq::buffer(aBytes), zmq::send_flags::dontwait)) {
+      ++dropped_;
       return;
     }
-    aPeer.waitingBytes -= first.bytes.size();
-    aPeer.waiting.pop_front();
+    ++messagesSent_;
+    bytesSent_ += aBytes.size();
   }
-}
 
-void ZmqTransport::RetryAll()
-{
-  bool waiting = false;
-  for (auto& [host, peer] : peers_) {
-    SendWaiting(peer);
-    waiting = waiting || !peer.waiting.empty();
-  }
-  if (!waiting) {
-    retryTimer_.reset();
-  }
-}
+  uint16_t Port() const override { return port_; }
 
-/// Ends the transport with its owner's handle, also inside onMessage.
-class TransportOwner : public PeerTransport
-{
-public:
-  explicit TransportOwner(std::shared_ptr<ZmqTransport> aTransport)
-    : transport_(std::move(aTransport))
-  {
-  }
-  ~TransportOwner() override { transport_->Stop(); }
-  TransportOwner(const TransportOwner&) = delete;
-  TransportOwner& operator=(const TransportOwner&) = delete;
-
-  void SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t aPort) override
+  PeerTransportStats Stats() const override
   {
-    transport_->SetPeer(aHost, aAddress, aPort);
+    return { messagesSent_, receiver_->Messages(), bytesSent_, receiver_->Bytes(), dropped_ };
   }
-  void RemovePeer(std::string_view aHost) override { transport_->RemovePeer(aHost); }
-  void Send(std::string_view aHost, std::string_view aBytes) override
-  {
-    transport_->Send(aHost, aBytes);
-  }
-  uint16_t Port() const override { return transport_->Port(); }
-  PeerTransportStats Stats() const override { return transport_->Stats(); }
 
 private:
-  std::shared_ptr<ZmqTransport> transport_;
+  PeerTransportInit init_;
+  zmq::context_t context_{ 1 };
+  std::shared_ptr<Receiver> receiver_;
+  uint16_t port_;
+  std::map<std::string, Peer, std::less<>> peers_;
+  uint64_t messagesSent_ = 0;
+  uint64_t bytesSent_ = 0;
+  uint64_t dropped_ = 0;
 };
 
 } // namespace
@@ -332,11 +264,9 @@
 {
   const std::string peer = aInit.address + ":" + std::to_string(aInit.port);
   try {
-    auto transport = std::make_shared<ZmqTransport>(std::move(aInit));
-    transport->WaitForMessages();
-    return std::unique_ptr<PeerTransport>(std::make_unique<TransportOwner>(std::move(transport)));
-  } catch (const std::exception& error) {
-    return Error{ Errc::Unavailable, "peering.bind", peer, error.what() };
+    return std::unique_ptr<PeerTransport>(std::make_unique<ZmqPeerTransport>(std::move(aInit)));
+  } catch (const zmq::error_t& error) {
+    return Error{ Errc::Unavailable, "peer.bind", peer, error.what() };
   }
 }
 
