Include standard headers before Asio

Cause: AddressSanitizer reported memory from aligned_alloc freed with operator delete. Asio 1.22 uses aligned_alloc only when a standard header was included before it, so files disagreed.

Ruled out: a definition on the eventloop target, which another package owns.

Change: order of includes in all files that include Asio.

Conclusion: all four transport test programs pass with AddressSanitizer.

--- a/packages/httpd/src/asio_connection.cpp
+++ b/packages/httpd/src/asio_connection.cpp
@@ -1,10 +1,12 @@
+// Standard headers come before Asio, which otherwise misses aligned_alloc and then frees memory of
+// other files with the wrong function.
+#include <array>
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-#include <array>
-
 #include "asio_server_p.h"
 
 namespace bg {
--- a/packages/httpd/src/asio_server.cpp
+++ b/packages/httpd/src/asio_server.cpp
@@ -1,3 +1,7 @@
+// Standard headers come before Asio, which otherwise misses aligned_alloc and then frees memory of
+// other files with the wrong function.
+#include <vector>
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
--- a/packages/httpd/src/restinio_server.cpp
+++ b/packages/httpd/src/restinio_server.cpp
@@ -1,9 +1,10 @@
-#include <restinio/http_server.hpp>
+// Standard headers come before Asio, which otherwise misses aligned_alloc and then frees memory of
+// other files with the wrong function.
+#include <unordered_map>
 
+#include <restinio/http_server.hpp>
 #include <sys/socket.h>
 
-#include <unordered_map>
-
 #include "httpd_p.h"
 
 namespace bg {
--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -1,3 +1,9 @@
+// Standard headers come before Asio, which otherwise misses aligned_alloc and then frees memory of
+// other files with the wrong function.
+#include <algorithm>
+#include <array>
+#include <unordered_map>
+
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -5,10 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <array>
-#include <unordered_map>
-
 #include "upstream_p.h"
 
 namespace bg {
--- a/packages/upstream/src/socket_watch.cpp
+++ b/packages/upstream/src/socket_watch.cpp
@@ -1,3 +1,7 @@
+// Standard headers come before Asio, which otherwise misses aligned_alloc and then frees memory of
+// other files with the wrong function.
+#include <array>
+
 #include <arpa/inet.h>
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
@@ -5,8 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
-
 #include "upstream_p.h"
 
 namespace bg::detail {
