--- a/packages/httpd/src/asio_server_p.h
+++ b/packages/httpd/src/asio_server_p.h
@@ -129,6 +129,7 @@
   std::shared_ptr<ByteBudget> budget_;
   std::string input_;  ///< Received bytes that no request has taken yet.
   size_t scanned_ = 0; ///< See ScanHead().
+  bool skippedEmptyLine_ = false;
   bool wantsContinue_ = false;
   Refusal problem_;
   ParsedHead head_;
--- a/packages/httpd/src/head_parser.cpp
+++ b/packages/httpd/src/head_parser.cpp
@@ -152,12 +152,12 @@
   if (const auto error = HTTP_PARSER_ERRNO(&parser); error != HPE_OK) {
     return RefusalOf(error);
   }
-  if (parser.http_major != 1 || parser.http_minor > 1) {
-    return Refusal{ 505, "unsupported HTTP version" };
-  }
   if (aHead.method.empty()) {
     return Refusal{ 400, "malformed request" };
   }
+  if (parser.http_major != 1 || parser.http_minor > 1) {
+    return Refusal{ 505, "unsupported HTTP version" };
+  }
   const auto refusal = CheckHead({ aHead.method, aHead.target, aHead.headers });
   if (!refusal) {
     ReadFraming(aHead);
--- a/packages/httpd/src/request_reader.cpp
+++ b/packages/httpd/src/request_reader.cpp
@@ -48,8 +48,9 @@
 
 RequestReader::Status RequestReader::ReadHead()
 {
-  // An empty line before a request is skipped (RFC 9112 section 2.2).
-  if (scanned_ == 0 && input_.starts_with("\r\n")) {
+  // One empty line before a request is skipped (RFC 9112 section 2.2).
+  if (!skippedEmptyLine_ && scanned_ == 0 && input_.starts_with("\r\n")) {
+    skippedEmptyLine_ = true;
     input_.erase(0, 2);
   }
   if (input_.empty() || input_ == "\r") {
@@ -138,6 +139,7 @@
   head_ = {};
   chunks_ = {};
   scanned_ = 0;
+  skippedEmptyLine_ = false;
   wantsContinue_ = false;
 }
 
--- a/packages/httpd/tests/asio_server_test.cpp
+++ b/packages/httpd/tests/asio_server_test.cpp
@@ -157,6 +157,24 @@
   CHECK(connection->ReadMessage().ends_with("\r\n\r\nabc"));
 }
 
+TEST_CASE("the reading of a request does not depend on how its bytes are split")
+{
+  // Guards against a second empty line that was skipped only when it came in a later read; found by
+  // fuzz_request.
+  const std::string bytes = "\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (const size_t size : { 1UL, 2UL, 3UL, bytes.size() }) {
+    CAPTURE(size);
+    detail::RequestReader reader(1000, nullptr);
+    auto status = detail::RequestReader::Status::Incomplete;
+    for (size_t at = 0; at < bytes.size() && status != detail::RequestReader::Status::Refused;
+         at += size) {
+      status = reader.Feed(std::string_view(bytes).substr(at, size));
+    }
+    CHECK(status == detail::RequestReader::Status::Refused);
+    CHECK(reader.Problem().status == 400);
+  }
+}
+
 TEST_CASE("slow callers lose their connection")
 {
   // Guards against callers that hold memory and connections by sending nothing.
--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -41,11 +41,6 @@
   std::array<char, CURL_ERROR_SIZE> errorText{};
 };
 
-long ToMilliseconds(Duration aDuration)
-{
-  return std::max<long>(1, std::chrono::ceil<Milliseconds>(aDuration).count());
-}
-
 class CurlClient : public std::enable_shared_from_this<CurlClient>
 {
 public:
@@ -307,20 +302,12 @@
   CURL* easy = aTransfer.easy;
   const UpstreamRequest& request = aTransfer.request;
   const Duration left = request.deadline - (Now() - aTransfer.started);
-  const long age = std::max<long>(1, init_.maxConnectionAge / std::chrono::seconds(1));
   aTransfer.response.Start(request.method == "HEAD", request.maxResponseBytes);
   aTransfer.errorText[0] = '\0';
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.errorText.data());
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ToMilliseconds(left));
-  curl_easy_setopt(
-    easy, CURLOPT_CONNECTTIMEOUT_MS, ToMilliseconds(std::min(left, request.connectTimeout)));
-  const bool fresh = request.freshConnection || aTransfer.staleConnection;
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, age);
-  curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, age);
+  SetLimits(easy, request, left, init_.maxConnectionAge, aTransfer.staleConnection);
   curl_multi_add_handle(multi_, easy);
 }
 
--- a/packages/upstream/src/curl_request.cpp
+++ b/packages/upstream/src/curl_request.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <curl/curl.h>
 
 #include "upstream_p.h"
@@ -9,6 +11,11 @@
 /// Read and upload buffer of one transfer, in bytes; below malloc's threshold for mmap.
 constexpr long kTransferBufferBytes = 64L << 10;
 
+long ToMilliseconds(Duration aDuration)
+{
+  return std::max<long>(1, std::chrono::ceil<Milliseconds>(aDuration).count());
+}
+
 std::string UrlOf(const UpstreamRequest& aRequest)
 {
   const bool v6 = aRequest.address.find(':') != std::string::npos;
@@ -98,6 +105,23 @@
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, OnBody);
 }
 
+void SetLimits(void* aEasy,
+               const UpstreamRequest& aRequest,
+               Duration aLeft,
+               Duration aMaxConnectionAge,
+               bool aFresh)
+{
+  const long age = std::max<long>(1, aMaxConnectionAge / std::chrono::seconds(1));
+  const bool fresh = aRequest.freshConnection || aFresh;
+  curl_easy_setopt(aEasy, CURLOPT_TIMEOUT_MS, ToMilliseconds(aLeft));
+  curl_easy_setopt(
+    aEasy, CURLOPT_CONNECTTIMEOUT_MS, ToMilliseconds(std::min(aLeft, aRequest.connectTimeout)));
+  curl_easy_setopt(aEasy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(aEasy, CURLOPT_FORBID_REUSE, aRequest.freshConnection ? 1L : 0L);
+  curl_easy_setopt(aEasy, CURLOPT_MAXAGE_CONN, age);
+  curl_easy_setopt(aEasy, CURLOPT_MAXLIFETIME_CONN, age);
+}
+
 UpstreamFailure ClassifyFailure(int aCode,
                                 const ResponseReader& aResponse,
                                 std::string_view aErrorText,
--- a/packages/upstream/src/upstream_p.h
+++ b/packages/upstream/src/upstream_p.h
@@ -110,6 +110,15 @@
                                 bool aMaybeSent,
                                 bool aDeadlinePassed);
 
+/// Sets time limits and the use of existing connections for one attempt.
+/// @param aLeft Time until the request's deadline.
+/// @param aFresh Opens a new connection also when the request allows an older one.
+void SetLimits(void* aEasy,
+               const UpstreamRequest& aRequest,
+               Duration aLeft,
+               Duration aMaxConnectionAge,
+               bool aFresh);
+
 /// Sets the options that describe one request. The request, the response and the returned list
 /// must live as long as the transfer.
 curl_slist* SetRequest(void* aEasy, const UpstreamRequest& aRequest, ResponseReader& aResponse);
