--- a/packages/upstream/tests/raw_tcp.cpp
+++ b/packages/upstream/tests/raw_tcp.cpp
@@ -264,6 +264,28 @@
   ::close(socket_);
 }
 
+FullPort::FullPort()
+  : listener_(BindLoopback(0))
+  , port_(PortOf(listener_))
+{
+  ::listen(listener_, 0);
+  const sockaddr_in address = LoopbackAddress(port_);
+  // A queue of length 0 holds one connection; the others stay in the handshake.
+  for (int i = 0; i < 4; ++i) {
+    const int client = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    ::connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    clients_.push_back(client);
+  }
+}
+
+FullPort::~FullPort()
+{
+  for (const int client : clients_) {
+    ::close(client);
+  }
+  ::close(listener_);
+}
+
 std::string TestBody(size_t aSize)
 {
   std::string body(aSize, '\0');
--- a/packages/upstream/tests/raw_tcp.h
+++ b/packages/upstream/tests/raw_tcp.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <vector>
 
 #include "boragegauge/eventloop.h"
 
@@ -129,6 +130,23 @@
   uint16_t port_ = 0;
 };
 
+/// A TCP port of 127.0.0.1 on which connections are neither accepted nor refused: its queue is
+/// full.
+class FullPort
+{
+public:
+  FullPort();
+  ~FullPort();
+  FullPort(const FullPort&) = delete;
+  FullPort& operator=(const FullPort&) = delete;
+  uint16_t Port() const { return port_; }
+
+private:
+  int listener_;
+  uint16_t port_ = 0;
+  std::vector<int> clients_;
+};
+
 /// Bytes that include NUL, CR, LF and high bytes, different for each size.
 std::string TestBody(size_t aSize);
 
--- a/packages/upstream/tests/upstream_failure_test.cpp
+++ b/packages/upstream/tests/upstream_failure_test.cpp
@@ -96,6 +96,27 @@
     CHECK(result.failure == UpstreamFailure::Connect);
     CHECK_FALSE(result.maybeSent);
   }
+  SUBCASE("connection not established in time")
+  {
+    const FullPort port;
+    UpstreamRequest request = RequestTo(port.Port(), "POST");
+    request.connectTimeout = Milliseconds(30);
+    const UpstreamResult result = client.Fetch(request);
+    CHECK(result.failure == UpstreamFailure::Connect);
+    CHECK_FALSE(result.maybeSent);
+    CHECK(result.totalTime >= Milliseconds(29));
+    CHECK(result.totalTime < Milliseconds(500));
+  }
+  SUBCASE("deadline passes before the connection is established")
+  {
+    const FullPort port;
+    UpstreamRequest request = RequestTo(port.Port(), "POST");
+    request.deadline = Milliseconds(20);
+    const UpstreamResult result = client.Fetch(request);
+    CHECK(
+      (result.failure == UpstreamFailure::Timeout || result.failure == UpstreamFailure::Connect));
+    CHECK_FALSE(result.maybeSent);
+  }
   SUBCASE("reset after the request")
   {
     RawServer server([](RawConnection& aConnection, int) {
