--- a/tests/measure/latency.py
+++ b/tests/measure/latency.py
@@ -1,14 +1,16 @@
 """Latency that a proxy adds to a request: prints one JSON line.
 
 First a closed loop through the proxy finds the capacity of this machine. Then two load tools run at
-the same time, each at half of that rate divided by two: one sends to the upstreams through the proxy,
-the other sends the same requests directly. Both see the same state of the machine.
+the same time, each at a quarter of that rate: one sends to the upstreams through the proxy, the other
+sends the same requests directly. Both see the same state of the machine. The comparison is repeated;
+the added latency is the median over the rounds, with the lowest and highest round beside it.
 """
 
 import argparse
 import json
 import os
 import pathlib
+import statistics
 import subprocess
 import sys
 import tempfile
@@ -91,25 +93,32 @@
             raise RuntimeError(f"load was not answered with 200 only: {output.decode()}")
         return summary
 
+    def compare(self, rate, number):
+        """Both loads at the same time. Returns the summaries (proxied, direct)."""
+        loads = [self.load(targets, 2 * number + seed, "--rate", rate)
+                 for seed, targets in ((2, self.proxied), (3, self.direct))]
+        return [self.result(load) for load in loads]
+
     def run(self):
         self.start()
         before = cpu_seconds(self.proxy.child.pid)
         full = self.result(self.load(self.proxied, 1, "--concurrency", self.options.concurrency))
         cpu = cpu_seconds(self.proxy.child.pid) - before
-        rate = full["rate"] / 4
-        loads = [self.load(targets, seed, "--rate", rate)
-                 for seed, targets in ((2, self.proxied), (3, self.direct))]
-        proxied, direct = [self.result(load) for load in loads]
+        rounds = [self.compare(full["rate"] / 4, number) for number in range(self.options.rounds)]
         line = {
             "measure": "latency", "threads": self.options.threads,
             "capacity_per_s": round(full["rate"]),
             "requests_per_s_per_core": round(full["calls"] / cpu),
-            "rate_per_s": round(proxied["rate"] + direct["rate"]),
-            "samples": round(proxied["rate"] * proxied["seconds"]),
+            "rate_per_s": round(full["rate"] / 2),
+            "rounds": len(rounds),
+            "samples": sum(round(p["rate"] * p["seconds"]) for p, _ in rounds),
         }
         for name in ("p50", "p99", "p999"):
-            line[f"direct_{name}_ms"] = round(direct[f"{name}_ms"], 3)
-            line[f"added_{name}_ms"] = round(proxied[f"{name}_ms"] - direct[f"{name}_ms"], 3)
+            added = [p[f"{name}_ms"] - d[f"{name}_ms"] for p, d in rounds]
+            line[f"direct_{name}_ms"] = round(
+                statistics.median(d[f"{name}_ms"] for _, d in rounds), 3)
+            line[f"added_{name}_ms"] = round(statistics.median(added), 3)
+            line[f"added_{name}_range_ms"] = [round(min(added), 3), round(max(added), 3)]
         line["load_average"] = os.getloadavg()[0]
         return line
 
@@ -119,7 +128,8 @@
     parser.add_argument("--bin", type=pathlib.Path, default=ROOT / "build/release/bin")
     parser.add_argument("--threads", type=int, default=1, help="traffic threads of the proxy")
     parser.add_argument("--concurrency", type=int, default=32, help="calls in flight at capacity")
-    parser.add_argument("--duration-s", type=float, default=10, help="of each of the two phases")
+    parser.add_argument("--duration-s", type=float, default=4, help="of each round")
+    parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--service-ms", type=float, default=1, help="service time of the upstreams")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as work:
