--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -123,12 +123,12 @@
         for index, domain in enumerate(deployment["domains"], 1):
             fleet.start_proxy(f"entry-{index}", domain)
         fleet.register_hosts()
-        say("  " + fleet.apply().strip().replace("\n", "\n  "))
+        say("  " + fleet.apply().splitlines()[0])
         fleet.wait_ready()
         show_requests(fleet, deployment)
 
         mix = work / "mix.json"
-        mix.write_text(json.dumps(deployment["mix"]))
+        mix.write_text(json.dumps({"calls": deployment["mix"]}))
         proxies = [a for p in fleet.proxies
                    for a in ("--proxy", f"127.0.0.1:{p.ports['port']}")]
         load_tool = fleet.start("load", "load_tool", *proxies, "--mix", mix, "--rate", 400,
