Show the live peers of each proxy in status

Cause: the proxy's /state lists dead peers too, so status said "1 peers" for a proxy whose only peer had been killed.

Change: status counts the peers that are not listed as dead.

--- a/packages/ctl/include/boragegauge/ctl.h
+++ b/packages/ctl/include/boragegauge/ctl.h
@@ -75,7 +75,7 @@
   std::string digest;
   uint32_t formatMax = 0;
   std::optional<bool> ready;
-  std::optional<uint64_t> peers;
+  std::optional<uint64_t> livePeers;
 };
 
 std::vector<ProxyStatus> ReadProxyStatus(std::span<const ProxyAddress> aProxies,
--- a/packages/ctl/src/printer.cpp
+++ b/packages/ctl/src/printer.cpp
@@ -62,7 +62,7 @@
   json["digest"] = aStatus.digest;
   json["format_max"] = aStatus.formatMax;
   json["ready"] = aStatus.ready ? Json(*aStatus.ready) : Json();
-  json["peers"] = aStatus.peers ? Json(*aStatus.peers) : Json();
+  json["live_peers"] = aStatus.livePeers ? Json(*aStatus.livePeers) : Json();
   return json;
 }
 
@@ -123,8 +123,8 @@
     aOut << " (head: " << aHeadRevision << ")";
   if (aStatus.ready)
     aOut << (*aStatus.ready ? ", ready" : ", NOT READY");
-  if (aStatus.peers)
-    aOut << ", " << *aStatus.peers << " peers";
+  if (aStatus.livePeers)
+    aOut << ", live peers: " << *aStatus.livePeers;
   aOut << '\n';
 }
 
--- a/packages/ctl/src/proxies.cpp
+++ b/packages/ctl/src/proxies.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "ctl_p.h"
@@ -13,15 +15,16 @@
   return Error{ Errc::ProtocolViolation, aStep, aProxy.host, std::move(aDetail) };
 }
 
-/// A list counts as its length, so that a proxy may report either.
-std::optional<uint64_t> Count(const Json& aState, const char* aKey)
+/// Peers that the proxy does not list as dead; unset when it lists none at all.
+std::optional<uint64_t> CountLivePeers(const Json& aState)
 {
-  const auto it = aState.find(aKey);
-  if (it == aState.end())
+  const auto peers = aState.find("peers");
+  if (peers == aState.end() || !peers->is_array())
     return std::nullopt;
-  if (it->is_array())
-    return it->size();
-  return it->is_number_unsigned() ? std::optional(it->get<uint64_t>()) : std::nullopt;
+  const auto isLive = [](const Json& aPeer) {
+    return !aPeer.is_object() || aPeer.value("live", true);
+  };
+  return static_cast<uint64_t>(std::ranges::count_if(*peers, isLive));
 }
 
 ProxyStatus ParseStatus(const ProxyAddress& aProxy, const std::string& aBody)
@@ -33,7 +36,7 @@
     status.revision = json.at("revision").get<uint64_t>();
     status.digest = json.at("digest").get<std::string>();
     status.formatMax = json.at("format_max").get<uint32_t>();
-    status.peers = Count(json, "peers");
+    status.livePeers = CountLivePeers(json);
     if (const auto ready = json.find("ready"); ready != json.end() && ready->is_boolean())
       status.ready = ready->get<bool>();
   } catch (const Json::exception& error) {
