Claim before admission; repeat the evidence of standing local verdicts

Cause: (1) with the platform down, orders that waited for their claim filled the concurrency limit, and browses timed out in the queue (seen in the demo). (2) With few proxies each one avoided the half-failing upstream on its own evidence and then sent it nothing, so that no pooled verdict and no ejection followed. Ruled out: a larger limit; a separate limit for keyed requests; lower thresholds for the pooled test. Change: the claim goes before admission and waits 2 s at most; a proxy reports the evidence of its own verdict each second while it stands. Session tests with in-process upstreams guard against (1), doubled sends and wrong executed values.

--- a/packages/proxy/src/health_control.cpp
+++ b/packages/proxy/src/health_control.cpp
@@ -10,6 +10,10 @@
 constexpr Duration kVerdictRepeat = std::chrono::seconds(3);
 /// A verdict of a peer that is not repeated for this time no longer counts.
 constexpr Duration kVerdictLifetime = std::chrono::seconds(10);
+/// A proxy that avoids an upstream sends it no requests that could give more evidence. Its
+/// verdict's evidence is reported again while the verdict stands, so that proxies of several
+/// failure domains can agree although each of them stopped early.
+constexpr Duration kLocalRepeat = std::chrono::seconds(1);
 constexpr Duration kBaselineInterval = Milliseconds(500);
 
 detection::OutcomeClass ToOutcome(EvidenceKind aKind)
@@ -50,6 +54,7 @@
   std::vector<Upstream> upstreams(aConfiguration->upstreams.size());
   std::unordered_map<uint64_t, UpstreamHandle> byKey;
   std::map<uint16_t, Verdict> published;
+  std::map<uint16_t, EvidenceCounts> localEvidence;
   for (size_t i = 0; i < upstreams.size(); ++i) {
     const UpstreamConfig& config = aConfiguration->upstreams[i];
     const UpstreamHandle handle{ static_cast<uint16_t>(i) };
@@ -60,11 +65,15 @@
       if (auto node = published_.extract(previous->second.idx)) {
         published[handle.idx] = std::move(node.mapped());
       }
+      if (auto node = localEvidence_.extract(previous->second.idx)) {
+        localEvidence[handle.idx] = node.mapped();
+      }
     }
   }
   upstreams_ = std::move(upstreams);
   byKey_ = std::move(byKey);
   published_ = std::move(published);
+  localEvidence_ = std::move(localEvidence);
   configuration_ = std::move(aConfiguration);
   load_ = std::move(aLoad);
   localDomain_ = FindDomain(*configuration_, init_.settings->failureDomain);
@@ -303,6 +312,17 @@
   }
 }
 
+void HealthControl::RepeatLocalEvidence(TimePoint aNow)
+{
+  if (aNow - lastLocalRepeat_ < kLocalRepeat) {
+    return;
+  }
+  lastLocalRepeat_ = aNow;
+  for (const auto& [index, counts] : localEvidence_) {
+    init_.exchange->Add(counts);
+  }
+}
+
 void HealthControl::UpdatePooled(TimePoint aNow,
                                  const std::map<std::string, uint32_t>& aProxiesPerDomain)
 {
@@ -329,6 +349,7 @@
     return;
   }
   SendReports(aNow);
+  RepeatLocalEvidence(aNow);
   UpdatePooled(aNow, aProxiesPerDomain);
   for (const detection::Verdict& verdict : local_.TakeVerdicts()) {
     ActOnLocal(verdict);
@@ -347,6 +368,18 @@
                             : aVerdict.avoid ? DecisionKind::Avoidance
                                              : DecisionKind::Clearance;
   RecordVerdict(kind, aVerdict, "local_cusum");
+  if (kind != DecisionKind::Avoidance) {
+    localEvidence_.erase(aVerdict.upstream.idx);
+    return;
+  }
+  const UpstreamConfig& upstream = configuration_->upstreams[aVerdict.upstream.idx];
+  const std::string& service = configuration_->services[upstream.service.idx].id;
+  const detection::EvidenceCounts& total = aVerdict.evidence.domains.front().total;
+  localEvidence_[aVerdict.upstream.idx] = { UpstreamKey(service, upstream.id),
+                                            total.good,
+                                            total.failed,
+                                            total.slow,
+                                            static_cast<uint32_t>(kLocalRepeat / Milliseconds(1)) };
 }
 
 void HealthControl::ActOnPooled(const detection::Verdict& aVerdict)
--- a/packages/proxy/src/health_control.h
+++ b/packages/proxy/src/health_control.h
@@ -79,6 +79,7 @@
 
   UpstreamHandle FindByKey(uint64_t aKey) const;
   void SendReports(TimePoint aNow);
+  void RepeatLocalEvidence(TimePoint aNow);
   void UpdatePooled(TimePoint aNow, const std::map<std::string, uint32_t>& aProxiesPerDomain);
   void ActOnLocal(const detection::Verdict& aVerdict);
   void ActOnPooled(const detection::Verdict& aVerdict);
@@ -103,8 +104,11 @@
   detection::PooledDetector pooled_;
   std::vector<Upstream> upstreams_;
   std::unordered_map<uint64_t, UpstreamHandle> byKey_;
+  /// Evidence of this proxy's own verdicts that stand, by upstream index.
+  std::map<uint16_t, EvidenceCounts> localEvidence_;
   std::map<uint16_t, Verdict> published_; ///< Own verdicts that stand, by upstream index.
   TimePoint lastRepeat_{};
+  TimePoint lastLocalRepeat_{};
   TimePoint lastBaseline_{};
   TimePoint now_{};
 };
--- a/packages/proxy/src/request_session.cpp
+++ b/packages/proxy/src/request_session.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// Longest wait for the platform's table before a keyed request is refused as not run.
+constexpr Duration kClaimLimit = std::chrono::seconds(2);
+
 double MillisecondsOf(Duration aDuration)
 {
   return std::chrono::duration<double, std::milli>(aDuration).count();
@@ -47,7 +50,7 @@
   });
   if (session->Route() && session->CheckCallerLimits() && session->CheckIdempotencyKey()) {
     session->ReadDeadline();
-    session->Admit();
+    session->ClaimOrAdmit();
   }
 }
 
@@ -190,11 +193,17 @@
   isQueued_ = false;
   isAdmitted_ = true;
   admittedAt_ = Now();
-  const bool needsClaim = !key_.empty() && !thread_.Shared().settings->IsDisabled("once");
-  if (needsClaim) {
+  StartFirstAttempt();
+}
+
+void RequestSession::ClaimOrAdmit()
+{
+  // The claim goes first: a request that waits for the platform must not hold a place that requests
+  // without a key could use.
+  if (!key_.empty() && !thread_.Shared().settings->IsDisabled("once")) {
     Claim();
   } else {
-    StartFirstAttempt();
+    Admit();
   }
 }
 
@@ -229,7 +238,7 @@
   ClaimRequest claim{ ServiceOf().id, account_, key_, Sha256Hex(head + Sha256Hex(body)) };
   thread_.Shared().hooks.claim(
     std::move(claim),
-    deadline_,
+    std::min(deadline_, receivedAt_ + kClaimLimit),
     [self = shared_from_this(), &loop = thread_.Loop()](ClaimResult aResult) {
       loop.Post(
         [self, aResult = std::move(aResult)]() mutable { self->OnClaim(std::move(aResult)); });
@@ -241,7 +250,11 @@
   switch (aResult.status) {
     case ClaimStatus::Won:
       claimRow_ = std::move(aResult.rowKey);
-      return StartFirstAttempt();
+      if (isCallerGone_) {
+        SettleClaim(Executed::No);
+        return Respond({}, "caller_gone");
+      }
+      return Admit();
     case ClaimStatus::AlreadyDone:
       return Replay(std::move(aResult.outcome));
     case ClaimStatus::KeyReused:
@@ -348,9 +361,11 @@
   if (snapshot_ && IsValid(match_.caller)) {
     event.caller = snapshot_->configuration->callers[match_.caller.idx].id;
   }
+  if (IsValid(match_.route)) {
+    event.service = ServiceOf().id;
+  }
   if (service_) {
     const AdmissionStats stats = service_->admission.Stats();
-    event.service = ServiceOf().id;
     event.evidence = { { "concurrency_limit", stats.limit },
                        { "in_flight", stats.inFlight },
                        { "queued", stats.queued },
@@ -368,7 +383,7 @@
   }
   isAnswered_ = true;
   RequestMetrics metrics;
-  if (service_) {
+  if (IsValid(match_.route)) {
     metrics.service = ServiceOf().id;
   }
   if (snapshot_ && IsValid(match_.caller)) {
@@ -404,6 +419,7 @@
     service_->admission.Cancel(ticket_);
     const auto self = shared_from_this();
     service_->waiting.erase(ticket_);
+    SettleClaim(Executed::No);
     isAnswered_ = true;
     return;
   }
--- a/packages/proxy/src/request_session.h
+++ b/packages/proxy/src/request_session.h
@@ -53,6 +53,7 @@
   void Admit();
 
   // Claim of the idempotency key.
+  void ClaimOrAdmit();
   void Claim();
   void OnClaim(ClaimResult aResult);
   void Replay(ClaimOutcome aOutcome);
--- /dev/null
+++ b/packages/proxy/tests/request_session_test.cpp
@@ -0,0 +1,309 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <future>
+#include <map>
+#include <thread>
+
+#include "boragegauge/coordination.h"
+#include "traffic_thread.h"
+
+using namespace bg;
+
+namespace {
+
+constexpr auto kLimit = std::chrono::seconds(10);
+
+/// An upstream whose behaviour is a function of the request; runs on its own thread.
+class TestUpstream
+{
+public:
+  using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+
+  explicit TestUpstream(Handler aHandler)
+  {
+    HttpServerInit init;
+    init.loop = &loop_;
+    init.handler = [this, handler = std::move(aHandler)](HttpRequest aRequest,
+                                                         std::shared_ptr<HttpReply> aReply) {
+      ++requests;
+      handler(std::move(aRequest), std::move(aReply));
+    };
+    auto server = CreateHttpServer(std::move(init));
+    REQUIRE(server);
+    server_ = std::move(*server);
+    port = server_->Port();
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+  ~TestUpstream()
+  {
+    loop_.Post([this] {
+      server_.reset();
+      loop_.Stop();
+    });
+    thread_.join();
+  }
+  TestUpstream(const TestUpstream&) = delete;
+  TestUpstream& operator=(const TestUpstream&) = delete;
+
+  std::atomic<int> requests{ 0 };
+  uint16_t port = 0;
+
+private:
+  EventLoop loop_;
+  std::unique_ptr<HttpServer> server_;
+  std::thread thread_;
+};
+
+void AnswerOk(const HttpRequest& /*aRequest*/, const std::shared_ptr<HttpReply>& aReply)
+{
+  aReply->Send({ 200, {}, "done" });
+}
+
+void Shed(const HttpRequest& /*aRequest*/, const std::shared_ptr<HttpReply>& aReply)
+{
+  aReply->Send({ 503, { { "X-Not-Run", "shed" } }, "" });
+}
+
+/// One traffic thread in front of test upstreams, and a client that calls it.
+class TestProxy
+{
+public:
+  explicit TestProxy(std::vector<uint16_t> aPorts, uint32_t aMaxConcurrency = 8)
+  {
+    settings.host = "entry-1";
+    settings.failureDomain = "a";
+    shared.settings = &settings;
+    shared.bodyBudget = std::make_shared<ByteBudget>(1 << 20);
+    shared.onRequestDone = [](const RequestMetrics&) {};
+    shared.hooks.onEvidence = [this](const std::vector<UpstreamEvidence>& aEvidence) {
+      for (const UpstreamEvidence& evidence : aEvidence) {
+        ++evidenceKinds[static_cast<size_t>(evidence.kind)];
+      }
+    };
+    shared.hooks.onRefusal = [](const RefusalEvent&) {};
+    shared.hooks.onLeaving =
+      [this](const std::string&, const std::string&, const std::string&, const std::string&) {
+        ++leavingSignals;
+      };
+    shared.hooks.claim =
+      [this](const ClaimRequest&, TimePoint, const std::function<void(ClaimResult)>& aCallback) {
+        if (claimsAnswer) {
+          aCallback({ ClaimStatus::Won, "row", {} });
+        }
+      };
+    shared.hooks.completeClaim = [this](const std::string&, const ClaimOutcome&) { ++completed; };
+    shared.hooks.withdrawClaim = [this](const std::string&) { ++withdrawn; };
+    shared.hooks.forgetClaim = [this](const std::string&) { ++forgotten; };
+    Publish(aPorts, aMaxConcurrency);
+    thread = std::make_unique<TrafficThread>(shared);
+    const auto started = thread->Start(0);
+    REQUIRE(started);
+    port = *started;
+    client = CreateCurlUpstreamClient({ .loop = &loop });
+    clientThread = std::thread([this] { loop.Run(); });
+  }
+
+  ~TestProxy()
+  {
+    loop.Post([this] {
+      client.reset();
+      loop.Stop();
+    });
+    clientThread.join();
+    thread->Stop();
+  }
+  TestProxy(const TestProxy&) = delete;
+  TestProxy& operator=(const TestProxy&) = delete;
+
+  void Publish(const std::vector<uint16_t>& aPorts, uint32_t aMaxConcurrency)
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->failureDomains = { "a" };
+    ServiceConfig service;
+    service.id = "order-desk";
+    service.slotsPerUpstream = 3;
+    service.maxConcurrency = aMaxConcurrency;
+    service.retryBudget = 1;
+    for (const uint16_t upstreamPort : aPorts) {
+      service.upstreams.push_back(
+        UpstreamHandle{ static_cast<uint16_t>(configuration->upstreams.size()) });
+      configuration->upstreams.push_back({ "desk-" + std::to_string(upstreamPort),
+                                           ServiceHandle{ 0 },
+                                           "127.0.0.1",
+                                           upstreamPort,
+                                           0,
+                                           FailureDomainHandle{ 0 } });
+    }
+    configuration->services = { service };
+    CallerConfig shops;
+    shops.id = "shops";
+    shops.accountPrefixes = { "shop-" };
+    configuration->callers = { shops };
+    RouteConfig browse;
+    browse.id = "browse";
+    browse.pathPrefix = "/catalog";
+    browse.methods = { "GET" };
+    browse.callers = { CallerHandle{ 0 } };
+    browse.service = ServiceHandle{ 0 };
+    browse.idempotent = true;
+    RouteConfig order = browse;
+    order.id = "order";
+    order.pathPrefix = "/orders";
+    order.methods = { "POST" };
+    order.idempotent = false;
+    configuration->routes = { browse, order };
+    auto snapshot = std::make_shared<RoutingSnapshot>();
+    snapshot->configuration = configuration;
+    snapshot->routes = std::make_shared<RouteTable>(configuration);
+    snapshot->load = std::make_shared<LoadTable>(configuration->upstreams.size());
+    snapshot->status.resize(configuration->upstreams.size());
+    snapshot->slowLimits = { Milliseconds(500) };
+    snapshot->localDomain = FailureDomainHandle{ 0 };
+    shared.Publish(snapshot);
+  }
+
+  std::future<UpstreamResult> Start(const std::string& aMethod,
+                                    const std::string& aTarget,
+                                    std::vector<HttpHeader> aHeaders = {})
+  {
+    auto promise = std::make_shared<std::promise<UpstreamResult>>();
+    UpstreamRequest request;
+    request.address = "127.0.0.1";
+    request.port = port;
+    request.method = aMethod;
+    request.target = aTarget;
+    request.headers = std::move(aHeaders);
+    request.headers.push_back({ "X-Account", "shop-1" });
+    loop.Post([this, promise, request] {
+      client->Send(request,
+                   [promise](UpstreamResult aResult) { promise->set_value(std::move(aResult)); });
+    });
+    return promise->get_future();
+  }
+
+  UpstreamResult Call(const std::string& aMethod,
+                      const std::string& aTarget,
+                      std::vector<HttpHeader> aHeaders = {})
+  {
+    auto result = Start(aMethod, aTarget, std::move(aHeaders));
+    REQUIRE(result.wait_for(kLimit) == std::future_status::ready);
+    return result.get();
+  }
+
+  ProxySettings settings;
+  TrafficShared shared;
+  std::atomic<bool> claimsAnswer{ true };
+  std::atomic<int> leavingSignals{ 0 };
+  std::atomic<int> completed{ 0 };
+  std::atomic<int> withdrawn{ 0 };
+  std::atomic<int> forgotten{ 0 };
+  std::map<size_t, int> evidenceKinds;
+  std::unique_ptr<TrafficThread> thread;
+  uint16_t port = 0;
+  EventLoop loop;
+  std::unique_ptr<UpstreamClient> client;
+  std::thread clientThread;
+};
+
+bool SaysExecuted(const UpstreamResult& aResult, std::string_view aValue)
+{
+  return aResult.body.find("\"executed\":\"" + std::string(aValue) + "\"") != std::string::npos;
+}
+
+const std::vector<HttpHeader> kKey = { { "Idempotency-Key", "k1" } };
+
+} // namespace
+
+TEST_CASE("requests that wait for a claim hold no place of the service")
+{
+  // Guards against a platform outage that blocks requests which need no claim: in the demo, orders
+  // that waited for the table filled the concurrency limit and browses timed out in the queue.
+  TestUpstream upstream(AnswerOk);
+  TestProxy proxy({ upstream.port }, 2);
+  proxy.claimsAnswer = false;
+  std::vector<std::future<UpstreamResult>> waiting;
+  for (int i = 0; i < 5; ++i) {
+    waiting.push_back(proxy.Start("POST", "/orders", kKey));
+  }
+  CHECK(proxy.Call("GET", "/catalog").status == 200);
+  CHECK(upstream.requests == 1);
+}
+
+TEST_CASE("a documented refusal moves any request to another upstream")
+{
+  TestUpstream full(Shed);
+  TestUpstream idle(AnswerOk);
+  TestProxy proxy({ full.port, idle.port });
+  for (int i = 0; i < 6; ++i) {
+    CHECK(proxy.Call("POST", "/orders").status == 200);
+  }
+  CHECK(idle.requests == 6);
+  CHECK(proxy.evidenceKinds[static_cast<size_t>(EvidenceKind::Failed)] == 0);
+}
+
+TEST_CASE("only refusals are told as not run")
+{
+  TestUpstream full(Shed);
+  TestProxy proxy({ full.port });
+  const UpstreamResult refused = proxy.Call("POST", "/orders", kKey);
+  CHECK(refused.status == 503);
+  CHECK(SaysExecuted(refused, "no"));
+  CHECK(proxy.withdrawn == 1);
+}
+
+TEST_CASE("a non-idempotent request that may have run is not sent again")
+{
+  // Guards against a doubled order after a broken connection.
+  const auto abort = [](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+    aReply->Abort();
+  };
+  TestUpstream first(abort);
+  TestUpstream second(abort);
+  TestProxy proxy({ first.port, second.port });
+  const UpstreamResult unknown = proxy.Call("POST", "/orders", kKey);
+  CHECK(unknown.status == 502);
+  CHECK(SaysExecuted(unknown, "unknown"));
+  CHECK(first.requests + second.requests == 1);
+  CHECK(proxy.withdrawn == 0);
+  CHECK(proxy.forgotten == 1);
+}
+
+TEST_CASE("an idempotent request survives a failing upstream")
+{
+  TestUpstream failing([](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+    aReply->Send({ 500, {}, "broken" });
+  });
+  TestUpstream working(AnswerOk);
+  TestProxy proxy({ failing.port, working.port });
+  for (int i = 0; i < 10; ++i) {
+    const UpstreamResult result = proxy.Call("GET", "/catalog");
+    CHECK(result.status == 200);
+    CHECK(result.body == "done");
+  }
+}
+
+TEST_CASE("a draining upstream is reported at its first sign")
+{
+  TestUpstream leaving([](const HttpRequest&, const std::shared_ptr<HttpReply>& aReply) {
+    aReply->Send({ 200, { { "X-Draining", "1" } }, "done" });
+  });
+  TestProxy proxy({ leaving.port });
+  CHECK(proxy.Call("GET", "/catalog").status == 200);
+  CHECK(proxy.leavingSignals == 1);
+}
+
+TEST_CASE("a silent upstream costs at most the caller's deadline")
+{
+  std::deque<std::shared_ptr<HttpReply>> held;
+  TestUpstream silent([&held](const HttpRequest&, std::shared_ptr<HttpReply> aReply) {
+    held.push_back(std::move(aReply));
+  });
+  TestProxy proxy({ silent.port });
+  const TimePoint start = Now();
+  const UpstreamResult result =
+    proxy.Call("GET", "/catalog", { { "X-Request-Deadline-Ms", "300" } });
+  CHECK(result.status == 504);
+  CHECK(SaysExecuted(result, "unknown"));
+  CHECK(Now() - start < std::chrono::seconds(2));
+}
