Know the latency baseline after 32 outcomes of a service

Cause: on 40 running proxies a ten-times-slower upstream got no verdict within 4.5 s of a fault 10 s after the start: each proxy knew the slow limit only after 5 outcomes at each of half of the upstreams (7 s and more at 22 requests/s; minutes for a service with little traffic). Ruled out: fewer outcomes per upstream (one slow answer would set a limit). Change: until then the median of the first 32 good outcomes of the service.

--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -257,6 +257,8 @@
   ServiceMembers members;
   ServiceBaseline baseline;
   Duration slowLimit{ Duration::max() };
+  std::array<float, 32> firstLatenciesMs{}; ///< Until enough upstreams have outcomes of their own.
+  uint32_t firstCount = 0;
   uint32_t untilRefresh = 0;
   TimePoint guardUntil{};
 };
@@ -364,7 +366,7 @@
 struct PooledDetectorInit
 {
   Milliseconds confirmation{ 1000 }; ///< An Upstream verdict is confirmed after this time.
-  Milliseconds guardHold{ 5000 };   ///< No verdict for this time after the guard tripped.
+  Milliseconds guardHold{ 5000 };    ///< No verdict for this time after the guard tripped.
 };
 
 struct PooledDetectorStats
--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -56,6 +56,29 @@
   aCell.recentBad += IsBad(aOutcome) ? 1 : 0;
 }
 
+void SetLatency(detail::LocalService& aService, double aLatencyMs, Duration aSlowFloor)
+{
+  aService.baseline.known = true;
+  aService.baseline.latency = Duration(static_cast<int64_t>(aLatencyMs * 1e6));
+  const auto limit = static_cast<int64_t>(aLatencyMs * 1e6 * aService.members.config.slowFactor);
+  aService.slowLimit = std::max(aSlowFloor, Duration(limit));
+}
+
+/// A proxy with little traffic needs minutes for outcomes of most upstreams. Until then the median
+/// over the first outcomes of the whole service is the baseline, so that slow upstreams are found
+/// soon after a start.
+void LearnFirst(detail::LocalService& aService, float aLatencyMs, Duration aSlowFloor)
+{
+  std::array<float, 32>& latencies = aService.firstLatenciesMs;
+  latencies[aService.firstCount++] = aLatencyMs;
+  if (aService.firstCount < latencies.size()) {
+    return;
+  }
+  const auto middle = latencies.begin() + latencies.size() / 2;
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  SetLatency(aService, *middle, aSlowFloor);
+}
+
 void Count(EvidenceCounts& aCounts, OutcomeClass aOutcome)
 {
   if (aOutcome == OutcomeClass::Good) {
@@ -126,6 +149,9 @@
     cell.reportQueued = true;
     reportQueue_.push_back(aUpstream.idx);
   }
+  if (!service.baseline.known && aOutcome == OutcomeClass::Good) {
+    LearnFirst(service, LatencyMs(aLatency), init_.slowFloor);
+  }
   if (service.untilRefresh-- == 0) {
     RefreshBaseline(service);
   }
@@ -155,10 +181,7 @@
     }
   }
   const double latencyMs = LowerMedian(scratch_);
-  aService.baseline.known = true;
-  aService.baseline.latency = Duration(static_cast<int64_t>(latencyMs * 1e6));
-  const auto limit = static_cast<int64_t>(latencyMs * 1e6 * aService.members.config.slowFactor);
-  aService.slowLimit = std::max<Duration>(init_.slowFloor, Duration(limit));
+  SetLatency(aService, latencyMs, init_.slowFloor);
 }
 
 double LocalDetector::TakeRecentRate(const std::vector<uint16_t>& aMembers)
--- a/packages/detection/tests/detector_test.cpp
+++ b/packages/detection/tests/detector_test.cpp
@@ -32,6 +32,20 @@
 
 } // namespace
 
+TEST_CASE("a service with few requests per upstream soon has a slow limit")
+{
+  // Guards against a restarted proxy that takes minutes to see slow upstreams: each upstream alone
+  // needs several outcomes, the service as a whole has them after 32 requests.
+  LocalDetector detector;
+  detector.Configure(MakeConfiguration(30, 8));
+  for (uint16_t i = 0; i < 32; ++i) {
+    CHECK(detector.SlowLimit(kService) == Duration::max());
+    const UpstreamHandle upstream{ static_cast<uint16_t>(i % 30) };
+    detector.Observe(upstream, OutcomeClass::Good, Milliseconds(25), At(100 * i));
+  }
+  CHECK(detector.SlowLimit(kService) == Milliseconds(100));
+}
+
 TEST_CASE("local detection at one proxy")
 {
   LocalDetector detector;
--- a/packages/detection/tests/measure_test.cpp
+++ b/packages/detection/tests/measure_test.cpp
@@ -52,10 +52,11 @@
 TEST_CASE("detection time with the threshold of the Taller")
 {
   // Guards against a change that keeps gray-failing upstreams in use for longer than promised.
+  // 200 runs, because the p99 of 60 is their second-largest value and one run decides it.
   MESSAGE("seed " << kSeed);
   for (const FaultKind fault : { FaultKind::HalfFailing, FaultKind::TenTimesSlower }) {
-    const Sum sum =
-      RunSeeds({ .fault = fault, .runSeconds = 10 }, PolicyKind::PooledCusum, kTallerThreshold, 60);
+    const Sum sum = RunSeeds(
+      { .fault = fault, .runSeconds = 10 }, PolicyKind::PooledCusum, kTallerThreshold, 200);
     INFO(ToString(fault));
     CHECK(Percentile(sum, 0.5) <= kMedianTargetMs);
     CHECK(Percentile(sum, 0.99) <= kP99TargetMs);
