--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -12,7 +12,9 @@
 constexpr uint32_t kLatencyHorizon = 32;
 
 /// Weight that the recent counts keep at each refresh of the baseline. A refresh follows after one
-/// outcome per upstream on average, so this is a horizon of three to four outcomes per upstream.
+/// outcome per upstream on average, so the horizon is four outcomes per upstream. With a shorter
+/// one the bad rate rises so fast in a shared slow-down that only the first few upstreams reach the
+/// threshold, which the guard does not notice.
 constexpr float kRecentDecay = 0.75F;
 
 /// Outcomes after which an upstream counts for the medians.
@@ -54,6 +56,29 @@
   aCell.recentBad += IsBad(aOutcome) ? 1 : 0;
 }
 
+void SetLatency(detail::LocalService& aService, double aLatencyMs, Duration aSlowFloor)
+{
+  aService.baseline.known = true;
+  aService.baseline.latency = Duration(static_cast<int64_t>(aLatencyMs * 1e6));
+  const auto limit = static_cast<int64_t>(aLatencyMs * 1e6 * aService.members.config.slowFactor);
+  aService.slowLimit = std::max(aSlowFloor, Duration(limit));
+}
+
+/// A proxy with little traffic needs minutes for outcomes of most upstreams. Until then the median
+/// over the first outcomes of the whole service is the baseline, so that slow upstreams are found
+/// soon after a start.
+void LearnFirst(detail::LocalService& aService, float aLatencyMs, Duration aSlowFloor)
+{
+  std::array<float, 32>& latencies = aService.firstLatenciesMs;
+  latencies[aService.firstCount++] = aLatencyMs;
+  if (aService.firstCount < latencies.size()) {
+    return;
+  }
+  const auto middle = latencies.begin() + latencies.size() / 2;
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  SetLatency(aService, *middle, aSlowFloor);
+}
+
 void Count(EvidenceCounts& aCounts, OutcomeClass aOutcome)
 {
   if (aOutcome == OutcomeClass::Good) {
@@ -88,11 +113,7 @@
   }
   cells_ = std::move(cells);
 
-  services_.clear();
-  for (detail::ServiceMembers& members : detail::CollectServices(aConfiguration)) {
-    services_.emplace_back().members = std::move(members);
-    RefreshBaseline(services_.back());
-  }
+  detail::ReplaceMembers(services_, detail::CollectServices(aConfiguration));
   reportQueue_.reserve(cells_.size());
   scratch_.reserve(cells_.size());
 }
@@ -128,6 +149,9 @@
     cell.reportQueued = true;
     reportQueue_.push_back(aUpstream.idx);
   }
+  if (!service.baseline.known && aOutcome == OutcomeClass::Good) {
+    LearnFirst(service, LatencyMs(aLatency), init_.slowFloor);
+  }
   if (service.untilRefresh-- == 0) {
     RefreshBaseline(service);
   }
@@ -157,10 +181,7 @@
     }
   }
   const double latencyMs = LowerMedian(scratch_);
-  aService.baseline.known = true;
-  aService.baseline.latency = Duration(static_cast<int64_t>(latencyMs * 1e6));
-  const auto limit = static_cast<int64_t>(latencyMs * 1e6 * aService.members.config.slowFactor);
-  aService.slowLimit = std::max<Duration>(init_.slowFloor, Duration(limit));
+  SetLatency(aService, latencyMs, init_.slowFloor);
 }
 
 double LocalDetector::TakeRecentRate(const std::vector<uint16_t>& aMembers)
