Refuse recorded numbers that are not finite or out of range

Cause: a damaged record could make the conversion to an integer undefined. Change: ParseEvidenceValues reports such a number like a missing one; the test for missing numbers expects the new wording and covers both cases. Conclusion: replay refuses damaged evidence.

--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -133,7 +133,7 @@
 void Decide(const VerdictEvidence& aEvidence, Decision& aDecision);
 
 /// Named numbers for a decision record, and back. Parsing fails with NotFound when a value is
-/// missing.
+/// missing or out of range.
 std::vector<EvidenceValue> ToEvidenceValues(const VerdictEvidence& aEvidence);
 Result<VerdictEvidence> ParseEvidenceValues(std::span<const EvidenceValue> aValues);
 
--- a/packages/detection/src/evidence_values.cpp
+++ b/packages/detection/src/evidence_values.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "boragegauge/detection.h"
 
@@ -54,7 +56,7 @@
   void operator()(const std::string& aName, T& aField)
   {
     const auto it = std::ranges::find(values_, aName, &EvidenceValue::name);
-    if (it != values_.end()) {
+    if (it != values_.end() && Fits<T>(it->value)) {
       aField = static_cast<T>(it->value);
     } else if (missing_.empty()) {
       missing_ = aName;
@@ -68,6 +70,17 @@
   const std::string& Missing() const { return missing_; }
 
 private:
+  /// Records come from other processes; a conversion out of range would be undefined.
+  template<typename T>
+  static bool Fits(double aValue)
+  {
+    if constexpr (std::is_integral_v<T>) {
+      return aValue >= 0 && aValue <= static_cast<double>(std::numeric_limits<T>::max());
+    } else {
+      return std::isfinite(aValue);
+    }
+  }
+
   std::span<const EvidenceValue> values_;
   std::string missing_;
 };
@@ -105,7 +118,9 @@
     }
   }
   if (!reader.Missing().empty()) {
-    return Error{ Errc::NotFound, "detection.parse_evidence", "", "no value " + reader.Missing() };
+    return Error{
+      Errc::NotFound, "detection.parse_evidence", "", "no valid value " + reader.Missing()
+    };
   }
   return evidence;
 }
--- a/packages/detection/tests/sequential_test.cpp
+++ b/packages/detection/tests/sequential_test.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <limits>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -135,12 +138,20 @@
   }
 }
 
-TEST_CASE("parsing of recorded evidence names the missing number")
+TEST_CASE("parsing of recorded evidence names a missing or impossible number")
 {
   // Guards against a replay that silently uses a default.
   std::vector<EvidenceValue> values = ToEvidenceValues({});
   std::erase_if(values, [](const EvidenceValue& aValue) { return aValue.name == "threshold"; });
   const auto parsed = ParseEvidenceValues(values);
   REQUIRE_FALSE(static_cast<bool>(parsed));
-  CHECK(parsed.Failure().detail == "no value threshold");
+  CHECK(parsed.Failure().detail == "no valid value threshold");
+
+  // Guards against undefined conversions of numbers from a damaged record.
+  values = ToEvidenceValues({});
+  values.front().value = std::numeric_limits<double>::quiet_NaN();
+  CHECK(ParseEvidenceValues(values).Failure().detail == "no valid value p0");
+  values = ToEvidenceValues({});
+  std::ranges::find(values, "members", &EvidenceValue::name)->value = -1;
+  CHECK(ParseEvidenceValues(values).Failure().detail == "no valid value members");
 }
