Let ejections wait for four slow limits of the service

Cause: with a service time of 200 ms a shared slow-down gave false ejections: slow outcomes are known after 0.8 s, so that after 1 s most upstreams had not shown the problem and the guard did not hold. Ruled out: a longer fixed time, because services differ by a factor of 40. Change: the confirmation time is at least four slow limits. Conclusion: 25 ms services keep the 1 s; avoidance is immediate as before.

--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -291,6 +291,7 @@
   ServiceMembers members;
   TestRates rates;
   uint32_t localSuspects = 0; ///< ServiceBaseline::suspects
+  Duration latency{ 0 };      ///< ServiceBaseline::latency
   TimePoint guardUntil{};
   bool guardHeld = false;
 };
@@ -363,8 +364,10 @@
 
 struct PooledDetectorInit
 {
-  Milliseconds confirmation{ 1000 }; ///< An Upstream verdict is confirmed after this time.
-  Milliseconds guardHold{ 5000 };   ///< No verdict for this time after the guard tripped.
+  /// An Upstream verdict is confirmed after this time, or after four times the slow limit when that
+  /// is longer: until then a shared slow-down may not have shown at most upstreams.
+  Milliseconds confirmation{ 1000 };
+  Milliseconds guardHold{ 5000 }; ///< No verdict for this time after the guard tripped.
 };
 
 struct PooledDetectorStats
--- a/packages/detection/src/pooled_detector.cpp
+++ b/packages/detection/src/pooled_detector.cpp
@@ -19,6 +19,9 @@
 /// Longest time that one step covers; an upstream that was idle has no score to reduce.
 constexpr Duration kMaxStep = Milliseconds(250);
 
+/// An ejection waits for this many slow limits of the service, see PooledDetectorInit.
+constexpr double kConfirmationLimits = 4;
+
 /// Traffic estimates cover this time per proxy before older reports lose weight.
 constexpr double kTrafficHorizonSeconds = 600;
 
@@ -80,6 +83,7 @@
   if (aService.idx < services_.size()) {
     services_[aService.idx].rates = RatesFor(aBaseline);
     services_[aService.idx].localSuspects = aBaseline.suspects;
+    services_[aService.idx].latency = aBaseline.latency;
   }
 }
 
@@ -232,13 +236,16 @@
 void PooledDetector::Confirm(uint16_t aUpstream, TimePoint aNow)
 {
   detail::PooledUpstream& upstream = upstreams_[aUpstream];
+  const detail::PooledService& service = services_[upstream.service];
+  const double slowLimit = Seconds(service.latency) * service.members.config.slowFactor;
+  const double wait = std::max(Seconds(init_.confirmation), kConfirmationLimits * slowLimit);
   if (upstream.scope != VerdictScope::Upstream || upstream.confirmed ||
-      aNow - upstream.verdictAt < init_.confirmation) {
+      Seconds(aNow - upstream.verdictAt) < wait) {
     return;
   }
-  if (IsGuardDue(services_[upstream.service])) {
+  if (IsGuardDue(service)) {
     CollectEvidence(aUpstream, aNow);
-    evidence_.suspects = CountSuspects(services_[upstream.service]);
+    evidence_.suspects = CountSuspects(service);
     decision_.scope = upstream.scope;
     TripGuard(aUpstream, aNow);
     return;
