--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -133,7 +133,7 @@
 void Decide(const VerdictEvidence& aEvidence, Decision& aDecision);
 
 /// Named numbers for a decision record, and back. Parsing fails with NotFound when a value is
-/// missing.
+/// missing or out of range.
 std::vector<EvidenceValue> ToEvidenceValues(const VerdictEvidence& aEvidence);
 Result<VerdictEvidence> ParseEvidenceValues(std::span<const EvidenceValue> aValues);
 
@@ -293,6 +293,7 @@
   ServiceMembers members;
   TestRates rates;
   uint32_t localSuspects = 0; ///< ServiceBaseline::suspects
+  Duration latency{ 0 };      ///< ServiceBaseline::latency
   TimePoint guardUntil{};
   bool guardHeld = false;
 };
@@ -365,8 +366,10 @@
 
 struct PooledDetectorInit
 {
-  Milliseconds confirmation{ 1000 }; ///< An Upstream verdict is confirmed after this time.
-  Milliseconds guardHold{ 5000 };    ///< No verdict for this time after the guard tripped.
+  /// An Upstream verdict is confirmed after this time, or after four times the slow limit when that
+  /// is longer: until then a shared slow-down may not have shown at most upstreams.
+  Milliseconds confirmation{ 1000 };
+  Milliseconds guardHold{ 5000 }; ///< No verdict for this time after the guard tripped.
 };
 
 struct PooledDetectorStats
