Report the time that evidence covers; bound the poll back-off; parse once

Cause: (1) EvidenceExchange dropped the time that counts cover. Aggregators took each report for 200 ms, overestimated the traffic and counted it as good: a ten-times-slower upstream was never found on running proxies. (3) A body was parsed twice. Ruled out: hedging, lost reports, the guard, and the baseline (a debug log of received evidence showed interval_ms=0). Change: intervals are added up, a first report covers the time since the first outcome of the service, back-off at most 1 s, the validated body is kept. A test guards the interval.

--- a/packages/coordination/src/evidence_exchange.cpp
+++ b/packages/coordination/src/evidence_exchange.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// Upper bounds of the encoded sizes: 8 bytes of key and three 32-bit varints with their tags;
+/// Upper bounds of the encoded sizes: 8 bytes of key and four 32-bit varints with their tags;
 /// an envelope without its names.
-constexpr double kEntryBytes = 29;
+constexpr double kEntryBytes = 35;
 constexpr double kEnvelopeBytes = 36;
 
 uint32_t AddSaturated(uint32_t aLeft, uint32_t aRight)
@@ -121,6 +121,7 @@
   counts.good = AddSaturated(counts.good, aCounts.good);
   counts.failed = AddSaturated(counts.failed, aCounts.failed);
   counts.slow = AddSaturated(counts.slow, aCounts.slow);
+  counts.intervalMs = AddSaturated(counts.intervalMs, aCounts.intervalMs);
   if (!wasBad && counts.failed + counts.slow > 0) {
     impl_->bad.push_back(aCounts.upstream);
   }
--- a/packages/coordination/tests/evidence_exchange_test.cpp
+++ b/packages/coordination/tests/evidence_exchange_test.cpp
@@ -33,6 +33,7 @@
   {
     for (const EvidenceCounts& counts : aReport.counts) {
       delivered[std::string(aHost)] += counts.good + counts.failed + counts.slow;
+      intervalMs[std::string(aHost)] += counts.intervalMs;
     }
   }
 
@@ -56,6 +57,7 @@
 
   test::Simulation simulation;
   std::map<std::string, uint64_t> delivered;
+  std::map<std::string, uint64_t> intervalMs;
   std::vector<std::string> aggregators{ "p1", "p2" };
   size_t bytes = 0;
   int verdicts = 0;
@@ -70,15 +72,27 @@
 TEST_CASE("evidence of a healthy upstream stays local until there is a bad outcome")
 {
   Fixture fixture;
-  fixture.exchange.Add({ 1, 50, 0, 0 });
+  fixture.exchange.Add({ 1, 50, 0, 0, 0 });
   fixture.Run(Milliseconds(1000));
   CHECK(fixture.bytes == 0);
-  fixture.exchange.Add({ 1, 0, 0, 1 });
+  fixture.exchange.Add({ 1, 0, 0, 1, 0 });
   fixture.Run(Milliseconds(1000));
   CHECK(fixture.delivered["p1"] == 51);
   CHECK(fixture.delivered["p2"] == 51);
 }
 
+TEST_CASE("a report carries the time that its counts cover")
+{
+  // Guards against aggregators that overestimate the traffic: with a time of 0 they took each
+  // report for 200 ms and never found an upstream that was ten times slower.
+  Fixture fixture;
+  fixture.exchange.Add({ 1, 50, 0, 0, 9000 });
+  fixture.exchange.Add({ 1, 0, 0, 1, 400 });
+  fixture.Run(Milliseconds(1000));
+  CHECK(fixture.intervalMs["p1"] == 9400);
+  CHECK(fixture.intervalMs["p2"] == 9400);
+}
+
 TEST_CASE("reports respect the byte rate and lose no count")
 {
   // Guards against dropping counts while the token bucket is empty, and against exceeding 3 KB/s.
@@ -91,7 +105,7 @@
       const auto upstreams = *rc::gen::inRange(0, 200);
       for (int i = 0; i < upstreams; ++i) {
         const auto failed = *rc::gen::inRange<uint32_t>(0, 5);
-        fixture.exchange.Add({ Hash64(std::to_string(i)), 1, failed, 0 });
+        fixture.exchange.Add({ Hash64(std::to_string(i)), 1, failed, 0, 200 });
         added += 1 + failed;
       }
       fixture.Run(Milliseconds(200));
@@ -99,7 +113,7 @@
       RC_ASSERT(static_cast<double>(fixture.bytes) <= 3000 + seconds * 3000);
     }
     for (int i = 0; i < 200; ++i) {
-      fixture.exchange.Add({ Hash64(std::to_string(i)), 0, 1, 0 });
+      fixture.exchange.Add({ Hash64(std::to_string(i)), 0, 1, 0, 200 });
       ++added;
     }
     fixture.Run(Milliseconds(200000));
--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -259,6 +259,7 @@
   Duration slowLimit{ Duration::max() };
   std::array<float, 32> firstLatenciesMs{}; ///< Until enough upstreams have outcomes of their own.
   uint32_t firstCount = 0;
+  TimePoint firstSeen{}; ///< First outcome at any upstream of the service.
   uint32_t untilRefresh = 0;
   TimePoint guardUntil{};
 };
--- a/packages/detection/src/local_detector.cpp
+++ b/packages/detection/src/local_detector.cpp
@@ -139,8 +139,13 @@
   if (aOutcome == OutcomeClass::Neutral) {
     return;
   }
+  if (service.firstSeen == TimePoint{}) {
+    service.firstSeen = aNow - init_.reportInterval;
+  }
   if (cell.samples == 0) {
-    cell.lastReport = aNow - init_.reportInterval;
+    // The counts cover all the time without requests to this upstream; a shorter interval would
+    // overstate its traffic to the aggregators, which count unreported outcomes as good.
+    cell.lastReport = service.firstSeen;
   }
   Learn(cell, aOutcome, aLatency);
   Count(cell.unreported, aOutcome);
--- a/packages/proxy/src/control.cpp
+++ b/packages/proxy/src/control.cpp
@@ -10,6 +10,10 @@
 constexpr Duration kSlowTickInterval = Milliseconds(100);
 constexpr size_t kAggregators = 2;
 
+/// A configuration must be in force 4 s after its acceptance, also when the platform was slow just
+/// before; with a back-off of 4 s scripts/prove config saw 7.4 s.
+constexpr Milliseconds kMaxPollBackoff{ 1000 };
+
 /// Upper bound of the slow limit while the baseline of a service is unknown.
 constexpr Duration kUnknownSlowLimit = std::chrono::seconds(2);
 
@@ -170,10 +174,12 @@
   sync.sender = sender_.get();
   sync.platform = platform_.get();
   sync.now = Now;
-  sync.validate = [](std::string_view aBody) {
-    const ConfigurationReport report = ParseConfiguration(aBody);
-    return report.problems.empty() ? std::string() : ToString(report.problems.front());
+  sync.validate = [this](std::string_view aBody) {
+    // Kept for Adopt(): parsing a body of the design scale twice would exceed the processor budget.
+    parsed_ = ParseConfiguration(aBody);
+    return parsed_.problems.empty() ? std::string() : ToString(parsed_.problems.front());
   };
+  sync.maxBackoff = kMaxPollBackoff;
   sync.onAdopted = [this](uint64_t aRevision,
                           const std::string& aDigest,
                           const std::string& aBody) { Adopt(aRevision, aDigest, aBody); };
@@ -211,6 +217,11 @@
 {
   ControlHooks hooks;
   hooks.onEvidence = [this](std::vector<UpstreamEvidence> aEvidence) {
+    for (const UpstreamEvidence& evidence : aEvidence) {
+      const Configuration& configuration = *evidence.snapshot->configuration;
+      const ServiceHandle service = configuration.upstreams[evidence.upstream.idx].service;
+      metrics_.CountEvidence(configuration.services[service.idx].id, evidence.kind);
+    }
     loop_.Post([this, aEvidence = std::move(aEvidence)] { health_->OnEvidence(aEvidence); });
   };
   hooks.onRefusal = [this](RefusalEvent aEvent) {
@@ -309,7 +320,10 @@
 
 void Control::Adopt(uint64_t aRevision, const std::string& aDigest, const std::string& aBody)
 {
-  const ConfigurationReport report = ParseConfiguration(aBody);
+  ConfigurationReport report = std::exchange(parsed_, {});
+  if (!report.configuration || report.body != aBody) {
+    report = ParseConfiguration(aBody);
+  }
   if (!report.configuration) {
     return;
   }
--- a/packages/proxy/src/control.h
+++ b/packages/proxy/src/control.h
@@ -81,6 +81,7 @@
   std::unique_ptr<EventLoop::Timer> tick_;
   std::thread thread_;
   std::shared_ptr<const Configuration> configuration_;
+  ConfigurationReport parsed_; ///< Last body that was validated.
   std::shared_ptr<const RouteTable> routes_;
   std::shared_ptr<LoadTable> load_;
   FailureDomainHandle localDomain_;
--- a/packages/proxy/src/health_control.cpp
+++ b/packages/proxy/src/health_control.cpp
@@ -126,6 +126,15 @@
   for (const EvidenceCounts& counts : aReport.counts) {
     const UpstreamHandle upstream = FindByKey(counts.upstream);
     if (IsValid(upstream) && IsValid(domain)) {
+      Log(LogLevel::Debug,
+          "evidence_received",
+          { { "peer", aHost },
+            { "upstream", configuration_->upstreams[upstream.idx].id },
+            { "good", counts.good },
+            { "failed", counts.failed },
+            { "slow", counts.slow },
+            { "interval_ms", counts.intervalMs },
+            { "score", pooled_.Score(upstream) } });
       pooled_.Add(
         aHost,
         domain,
