--- a/packages/detection/include/boragegauge/detection.h
+++ b/packages/detection/include/boragegauge/detection.h
@@ -257,6 +257,8 @@
   ServiceMembers members;
   ServiceBaseline baseline;
   Duration slowLimit{ Duration::max() };
+  std::array<float, 32> firstLatenciesMs{}; ///< Until enough upstreams have outcomes of their own.
+  uint32_t firstCount = 0;
   uint32_t untilRefresh = 0;
   TimePoint guardUntil{};
 };
