--- a/packages/detection/tests/detector_test.cpp
+++ b/packages/detection/tests/detector_test.cpp
@@ -41,7 +41,7 @@
   for (uint16_t i = 0; i < 32; ++i) {
     CHECK(detector.SlowLimit(kService) == Duration::max());
     const UpstreamHandle upstream{ static_cast<uint16_t>(i % 30) };
-    detector.Observe(upstream, OutcomeClass::Good, Milliseconds(25), At(100 * i));
+    detector.Observe(upstream, OutcomeClass::Good, Milliseconds(25), At(int64_t{ 100 } * i));
   }
   CHECK(detector.SlowLimit(kService) == Milliseconds(100));
 }
