--- a/packages/proxy/tests/request_session_test.cpp
+++ b/packages/proxy/tests/request_session_test.cpp
@@ -69,7 +69,7 @@
 class TestProxy
 {
 public:
-  explicit TestProxy(std::vector<uint16_t> aPorts, uint32_t aMaxConcurrency = 8)
+  explicit TestProxy(const std::vector<uint16_t>& aPorts, uint32_t aMaxConcurrency = 8)
   {
     settings.host = "entry-1";
     settings.failureDomain = "a";
@@ -223,6 +223,7 @@
   TestProxy proxy({ upstream.port }, 2);
   proxy.claimsAnswer = false;
   std::vector<std::future<UpstreamResult>> waiting;
+  waiting.reserve(5);
   for (int i = 0; i < 5; ++i) {
     waiting.push_back(proxy.Start("POST", "/orders", kKey));
   }
--- a/tests/support/http_server.cpp
+++ b/tests/support/http_server.cpp
@@ -26,10 +26,10 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
-std::string HttpRequest::Query(const std::string& aName, std::string aDefault) const
+std::string HttpRequest::Query(const std::string& aName, const std::string& aDefault) const
 {
   const auto found = query.find(aName);
-  return found == query.end() ? std::move(aDefault) : found->second;
+  return found == query.end() ? aDefault : found->second;
 }
 
 namespace {
@@ -386,7 +386,7 @@
   std::string text =
     "HTTP/1.1 " + std::to_string(aResponse.status) + ' ' + Reason(aResponse.status) + "\r\n";
   for (const auto& [name, value] : aResponse.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   if (aResponse.headers.count("Content-Length") == 0 &&
       aResponse.headers.count("Transfer-Encoding") == 0) {
--- a/tests/support/http_server.h
+++ b/tests/support/http_server.h
@@ -30,7 +30,7 @@
   /// Empty when the header is absent.
   std::string Header(const std::string& aName) const;
   /// The default when the query parameter is absent.
-  std::string Query(const std::string& aName, std::string aDefault = "") const;
+  std::string Query(const std::string& aName, const std::string& aDefault = "") const;
 };
 
 struct HttpResponse
