--- a/packages/proxy/bench/measure_capacity.cpp
+++ b/packages/proxy/bench/measure_capacity.cpp
@@ -20,6 +20,19 @@
 using namespace bg;
 using Json = nlohmann::json;
 
+/// Never answers; the measurements use no platform data.
+class SilentPlatform : public Platform
+{
+public:
+  void Commit(CommitRequest, Duration, Callback<CommitReply>) override {}
+  void ReadRow(std::string_view, Duration, Callback<RowReply>) override {}
+  void Scan(std::string_view, Duration, Callback<ScanReply>) override {}
+  void PutObject(std::string_view, std::string, Duration, Callback<bool>) override {}
+  void GetObject(std::string_view, Duration, Callback<std::string>) override {}
+  void ListObjects(std::string_view, Duration, Callback<std::vector<std::string>>) override {}
+  void ListHosts(Duration, Callback<std::vector<HostEntry>>) override {}
+};
+
 struct FleetSize
 {
   size_t proxies = 48;
@@ -57,8 +70,8 @@
     service["slots_per_upstream"] = 3;
     service["healthy_floor"] = aSize.upstreamsPerService / 2;
     for (size_t u = 0; u < aSize.upstreamsPerService; ++u) {
-      service["upstreams"]["upstream-" + std::to_string(u)] = {
-        { "address", "10." + std::to_string(port / 65000) + ".0." + std::to_string(s % 250 + 1) },
+      service["upstreams"]["upstream-" + std::to_string(s) + "-" + std::to_string(u)] = {
+        { "address", "10.0." + std::to_string(s / 250) + "." + std::to_string(s % 250 + 1) },
         { "port", 1024 + port % 64000 },
         { "failure_domain", "domain-" + std::to_string(u % domains) }
       };
@@ -299,9 +312,10 @@
     heartbeat.failureDomain = "domain-0";
     heartbeat.state = ProxyState::Ready;
     heartbeat.heardIncarnation = 1;
+    SilentPlatform platform;
     MembershipInit init;
     init.sender = &sender;
-    init.platform = nullptr;
+    init.platform = &platform;
     init.now = [&] { return now; };
     init.heartbeat = [&] { return heartbeat; };
     init.hostsInterval = Milliseconds(INT32_MAX);
--- a/packages/proxy/src/health_control.cpp
+++ b/packages/proxy/src/health_control.cpp
@@ -233,8 +233,8 @@
   }
   DecisionRecord record =
     MakeRecord(DecisionKind::Drain, handle, aLeaving ? "leaving_signal" : "leaving_ended");
-  record.opposing.push_back("source=" + aMark.source);
-  record.opposing.push_back("boot_id=" + aMark.bootId);
+  record.context.push_back("source=" + aMark.source);
+  record.context.push_back("boot_id=" + aMark.bootId);
   init_.record(std::move(record));
 }
 
@@ -269,7 +269,7 @@
                         static_cast<double>(init_.permits->Ejected(aService, now_).size()) },
                       { "score", pooled_.Score(handle) } };
   if (!upstreams_[handle.idx].recordId.empty()) {
-    record.opposing.push_back("verdict=" + upstreams_[handle.idx].recordId);
+    record.context.push_back("verdict=" + upstreams_[handle.idx].recordId);
   }
   if (aEvent == PermitEvent::FloorReached || aEvent == PermitEvent::ReleasedByFloor) {
     record.opposing.emplace_back("floor");
@@ -297,13 +297,17 @@
   DecisionRecord record = MakeRecord(aKind, aVerdict.upstream, aRule);
   record.threshold = aVerdict.evidence.threshold;
   if (aVerdict.avoid) {
-    record.evidence = detection::ToEvidenceValues(aVerdict.evidence);
+    detection::VerdictEvidence evidence = aVerdict.evidence;
+    if (!evidence.pooled) {
+      evidence.domains.front().domain = localDomain_;
+    }
+    record.evidence = detection::ToEvidenceValues(evidence);
   }
   if (aVerdict.guarded) {
     record.opposing.emplace_back("guard");
   }
   if (aVerdict.scope == detection::VerdictScope::Path && IsValid(aVerdict.domain)) {
-    record.opposing.push_back("only_domain=" + configuration_->failureDomains[aVerdict.domain.idx]);
+    record.context.push_back("only_domain=" + configuration_->failureDomains[aVerdict.domain.idx]);
   }
   return init_.record(std::move(record));
 }
@@ -473,87 +477,4 @@
   }
 }
 
-bool HealthControl::IsCold(UpstreamHandle aUpstream, TimePoint aNow) const
-{
-  const TimePoint from = upstreams_[aUpstream.idx].slowStartFrom;
-  const ServiceHandle service = configuration_->upstreams[aUpstream.idx].service;
-  return from != TimePoint{} && aNow < from + configuration_->services[service.idx].slowStart;
-}
-
-ServiceHealth HealthControl::Health(std::string_view aService) const
-{
-  ServiceHealth health;
-  if (!configuration_) {
-    return health;
-  }
-  for (const ServiceConfig& service : configuration_->services) {
-    if (service.id != aService) {
-      continue;
-    }
-    health.floor = service.healthyFloor;
-    for (const UpstreamHandle handle : service.upstreams) {
-      const std::string& id = configuration_->upstreams[handle.idx].id;
-      if (upstreams_[handle.idx].listedLive && !IsCold(handle, now_) &&
-          !init_.leaving->IsLeaving(aService, id, now_)) {
-        health.healthy.push_back(id);
-      }
-    }
-  }
-  return health;
-}
-
-std::vector<UpstreamStatus> HealthControl::Status(TimePoint aNow) const
-{
-  std::vector<UpstreamStatus> status(upstreams_.size());
-  for (size_t i = 0; i < upstreams_.size(); ++i) {
-    const UpstreamHandle handle{ static_cast<uint16_t>(i) };
-    status[i].avoided = !upstreams_[i].avoidedBy.empty() || local_.IsAvoided(handle);
-    status[i].slowStartFrom = upstreams_[i].slowStartFrom;
-  }
-  for (const LeavingMark& mark : init_.leaving->Marks(aNow)) {
-    const UpstreamHandle handle = Find(mark.service, mark.upstream);
-    if (IsValid(handle) && !init_.settings->IsDisabled("leaving")) {
-      status[handle.idx].leaving = true;
-    }
-  }
-  for (const Ejection& ejection : init_.permits->Ejected(aNow)) {
-    const UpstreamHandle handle = Find(ejection.service, ejection.upstream);
-    if (IsValid(handle)) {
-      status[handle.idx].ejectedUntil = ejection.deadline;
-      status[handle.idx].avoided = true;
-    }
-  }
-  return status;
-}
-
-std::vector<Duration> HealthControl::SlowLimits() const
-{
-  std::vector<Duration> limits;
-  for (size_t i = 0; i < configuration_->services.size(); ++i) {
-    limits.push_back(local_.SlowLimit(ServiceHandle{ static_cast<uint16_t>(i) }));
-  }
-  return limits;
-}
-
-std::vector<UpstreamView> HealthControl::View(TimePoint aNow) const
-{
-  std::vector<UpstreamView> views;
-  const std::vector<UpstreamStatus> status = Status(aNow);
-  for (size_t i = 0; i < upstreams_.size(); ++i) {
-    const UpstreamHandle handle{ static_cast<uint16_t>(i) };
-    const UpstreamConfig& config = configuration_->upstreams[i];
-    UpstreamView& view = views.emplace_back();
-    view.service = configuration_->services[config.service.idx].id;
-    view.upstream = config.id;
-    view.state = status[i].leaving               ? "leaving"
-                 : status[i].ejectedUntil > aNow ? "ejected"
-                 : status[i].avoided             ? "avoided"
-                 : IsCold(handle, aNow)          ? "cold"
-                                                 : "normal";
-    view.score = pooled_.Score(handle);
-    view.inFlight = load_->InFlight(handle);
-  }
-  return views;
-}
-
 } // namespace bg
--- a/packages/proxy/src/request_attempts.cpp
+++ b/packages/proxy/src/request_attempts.cpp
@@ -256,7 +256,8 @@
 void RequestSession::OnTransportFailure(size_t aIndex, const UpstreamResult& aResult)
 {
   Attempt& attempt = attempts_[aIndex];
-  wasMaybeSent_ = wasMaybeSent_ || aResult.maybeSent;
+  const bool tellsTruth = !thread_.Shared().settings->IsDisabled("notrun");
+  wasMaybeSent_ = wasMaybeSent_ || (aResult.maybeSent && tellsTruth);
   const bool isOldConnection = aResult.connectionReused;
   CountEvidence(aIndex, isOldConnection ? EvidenceKind::Neutral : EvidenceKind::Failed);
   if (isOldConnection) {
--- a/packages/proxy/src/request_session.cpp
+++ b/packages/proxy/src/request_session.cpp
@@ -271,12 +271,14 @@
     case ClaimStatus::Count:
       break;
   }
-  Fail({ 503,
-         "claim-unavailable",
-         "the Idempotency-Key could not be claimed; the platform's table did not answer",
-         Executed::No,
-         2 },
-       "claim_unavailable");
+  Fail(
+    { 503,
+      "claim-unavailable",
+      "this attempt was not run, because the platform's table did not answer; repeat it with the "
+      "same Idempotency-Key",
+      Executed::No,
+      2 },
+    "claim_unavailable");
 }
 
 void RequestSession::Replay(ClaimOutcome aOutcome)
--- a/packages/proxy/src/settings.cpp
+++ b/packages/proxy/src/settings.cpp
@@ -15,8 +15,8 @@
 using Json = nlohmann::json;
 
 const std::vector<std::string_view> kMechanisms = {
-  "floor",     "lease",     "once", "retry_guard", "leaving", "drain", "config_monotonic",
-  "detection", "truncation"
+  "config_monotonic", "detection", "drain", "floor",       "lease",
+  "leaving",          "notrun",    "once",  "retry_guard", "truncation",
 };
 
 namespace {
--- a/packages/records/include/boragegauge/records.h
+++ b/packages/records/include/boragegauge/records.h
@@ -54,6 +54,7 @@
   double threshold = 0;
   std::vector<EvidenceValue> evidence;
   std::vector<std::string> opposing; ///< What spoke against: "floor", "lease", "budget", "guard".
+  std::vector<std::string> context;  ///< Further facts as "key=value", for example "source=health".
   uint64_t revision = 0;
   std::string digest;
   uint32_t count = 1; ///< Repeats within the interval that starts at timeMs.
--- a/packages/records/src/record_codec.cpp
+++ b/packages/records/src/record_codec.cpp
@@ -1,8 +1,11 @@
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
+#include <ctime>
 #include <limits>
 
 #include "boragegauge/records.h"
@@ -100,6 +103,8 @@
       { value.at("name").get<std::string>(), ReadDouble(value.at("value")) });
   }
   record.opposing = aJson.at("opposing").get<std::vector<std::string>>();
+  // Records of the first release have no context.
+  record.context = aJson.value("context", std::vector<std::string>());
   record.revision = ReadInteger<uint64_t>(aJson.at("revision"));
   record.digest = aJson.at("digest").get<std::string>();
   record.count = ReadInteger<uint32_t>(aJson.at("count"));
@@ -122,6 +127,14 @@
   }
 }
 
+std::string UtcText(int64_t aTimeMs)
+{
+  // Clamped to the years that the calendar functions can print; records may come from any writer.
+  const int64_t timeMs = std::clamp<int64_t>(aTimeMs, 0, 253402300799999);
+  const auto seconds = static_cast<std::time_t>(timeMs / 1000);
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), timeMs % 1000);
+}
+
 std::string JoinEvidence(const std::vector<EvidenceValue>& aEvidence)
 {
   std::string text;
@@ -154,6 +167,7 @@
     { "threshold", aRecord.threshold },
     { "evidence", EncodeEvidence(aRecord.evidence) },
     { "opposing", aRecord.opposing },
+    { "context", aRecord.context },
     { "revision", aRecord.revision },
     { "digest", aRecord.digest },
     { "count", aRecord.count },
@@ -178,8 +192,8 @@
 std::string Describe(const DecisionRecord& aRecord)
 {
   const auto kind = static_cast<size_t>(aRecord.kind);
-  std::string text =
-    fmt::format("At {} ms proxy {} ({}) ", aRecord.timeMs, aRecord.proxy, aRecord.failureDomain);
+  std::string text = fmt::format(
+    "At {} proxy {} ({}) ", UtcText(aRecord.timeMs), aRecord.proxy, aRecord.failureDomain);
   text += kind < kKinds.size()
             ? fmt::format(fmt::runtime(kKinds[kind].sentence), SubjectText(aRecord))
             : "made an unknown decision";
@@ -190,7 +204,10 @@
     text += fmt::format(", {} times", aRecord.count);
   }
   if (!aRecord.rule.empty()) {
-    text += fmt::format(", by rule {} with threshold {:.6g}", aRecord.rule, aRecord.threshold);
+    text += ", by rule " + aRecord.rule;
+  }
+  if (aRecord.threshold != 0) {
+    text += fmt::format(" with threshold {:.6g}", aRecord.threshold);
   }
   if (!aRecord.evidence.empty()) {
     text += "; evidence: " + JoinEvidence(aRecord.evidence);
@@ -198,6 +215,9 @@
   if (!aRecord.opposing.empty()) {
     text += fmt::format("; opposed by: {}", fmt::join(aRecord.opposing, ", "));
   }
+  if (!aRecord.context.empty()) {
+    text += fmt::format("; context: {}", fmt::join(aRecord.context, ", "));
+  }
   if (!aRecord.requestId.empty()) {
     text += "; request " + aRecord.requestId;
   }
--- a/packages/records/tests/records_test.cpp
+++ b/packages/records/tests/records_test.cpp
@@ -114,6 +114,10 @@
     REQUIRE_FALSE(DecodeRecord(changed));
     CHECK(DecodeRecord(changed).Failure().code == Errc::ProtocolViolation);
   }
+  // Guards against records of the first release, which have no context, becoming unreadable.
+  std::string withoutContext = text;
+  withoutContext.replace(withoutContext.find("\"context\":[],"), 13, "");
+  CHECK(DecodeRecord(withoutContext));
   CHECK_FALSE(DecodeRecord("[]"));
   CHECK_FALSE(DecodeRecord(text.substr(0, text.size() - 1)));
   // A subject that is not UTF-8 must not throw while it is written.
@@ -125,9 +129,13 @@
   DecisionRecord record = Ejection();
   record.proxy = "p1";
   record.failureDomain = "xela-a";
-  CHECK(Describe(record) ==
-        "At 0 ms proxy p1 (xela-a) ejected upstream desk-7 from the whole fleet "
-        "in service order-desk, by rule cusum with threshold 8; evidence: "
-        "failed = 12, score = 9.25; opposed by: floor; configuration revision "
-        "41 (digest 0123456789ab).");
+  record.timeMs = 1767225600123;
+  record.context = { "verdict=p1-77-3" };
+  CHECK(
+    Describe(record) ==
+    "At 2026-01-01T00:00:00.123Z proxy p1 (xela-a) ejected upstream desk-7 from the whole fleet "
+    "in service order-desk, by rule cusum with threshold 8; evidence: "
+    "failed = 12, score = 9.25; opposed by: floor; context: verdict=p1-77-3; configuration "
+    "revision "
+    "41 (digest 0123456789ab).");
 }
--- a/tests/prove/prove.py
+++ b/tests/prove/prove.py
@@ -22,7 +22,7 @@
 
 # Mechanism that --unprotected switches off for each promise.
 MECHANISMS = {
-    "whole": ["truncation"], "notrun": [], "once": ["once"], "leaving": ["leaving"],
+    "whole": ["truncation"], "notrun": ["notrun"], "once": ["once"], "leaving": ["leaving"],
     "shutdown": ["drain"], "config": ["config_monotonic"], "floor": ["floor"],
 }
 
