--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -109,7 +109,12 @@
         arguments += ["--admin", f"127.0.0.1:{proxy.ports['admin_port']}"]
     _, text = fleet.ctl(*arguments, check=False)
     say("\n".join("  " + line for line in text.rstrip().splitlines()))
-    check("Ejection" in text or "eject" in text.lower(), "explain names the ejection")
+    check("ejected upstream" in text, "explain names the ejection")
+    _, document = fleet.ctl(*arguments, "--json", check=False)
+    verdicts = [r for r in json.loads(document)["records"] if r["kind"] == "avoidance"]
+    code, text = fleet.ctl("explain", "--replay", verdicts[0]["id"], *arguments[7:], check=False)
+    say("  " + text.strip().replace("\n", "\n  "))
+    check(code == 0, "the same code decides the same from the recorded numbers")
 
 
 def run(options, work):
