--- a/packages/base/include/boragegauge/base.h
+++ b/packages/base/include/boragegauge/base.h
@@ -111,7 +111,8 @@
 /// Parses a period with the unit "ms" or "s", for example "1500ms" or "2.5s"; up to a day.
 std::optional<Milliseconds> ParsePeriod(std::string_view aText);
 
-/// Current monotonic time; only programs and I/O code call it.
+/// Current monotonic time, including the time during which the machine was suspended, so that
+/// leases and deadlines run out meanwhile; only programs and I/O code call it.
 TimePoint Now();
 
 enum class LogLevel
--- a/packages/base/src/base.cpp
+++ b/packages/base/src/base.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 
 namespace bg {
 
@@ -133,7 +134,9 @@
 
 TimePoint Now()
 {
-  return std::chrono::steady_clock::now();
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) + Duration(time.tv_nsec));
 }
 
 } // namespace bg
--- a/packages/eventloop/include/boragegauge/eventloop.h
+++ b/packages/eventloop/include/boragegauge/eventloop.h
@@ -30,6 +30,10 @@
   /// Queues a callback for the loop's thread. Callable from any thread.
   void Post(std::function<void()> aCallback);
 
+  /// Runs the timers that are due. After a suspension of the machine they would otherwise run as
+  /// late as it lasted. Callable from any thread.
+  void CheckTimers();
+
   /// Cancels its timer when destroyed.
   class Timer
   {
--- a/packages/eventloop/src/eventloop.cpp
+++ b/packages/eventloop/src/eventloop.cpp
@@ -1,9 +1,10 @@
 #include "boragegauge/eventloop.h"
 
+#include "boragegauge/boot_timer.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 namespace bg {
 
@@ -52,7 +53,7 @@
     }
   }
 
-  asio::steady_timer timer_;
+  BootTimer timer_;
   Duration interval_;
   std::function<void()> callback_;
   bool cancelled_ = false;
@@ -107,6 +108,16 @@
   asio::post(impl_->context, std::move(aCallback));
 }
 
+void EventLoop::CheckTimers()
+{
+  // The system's timer counts no suspended time; a new earliest expiry makes Asio look at its
+  // queue.
+  Post([this] {
+    auto timer = std::make_shared<BootTimer>(impl_->context, Duration(0));
+    timer->async_wait([timer](const std::error_code&) {});
+  });
+}
+
 std::unique_ptr<EventLoop::Timer> EventLoop::RunAfter(Duration aDelay,
                                                       std::function<void()> aCallback)
 {
--- a/packages/eventloop/tests/eventloop_test.cpp
+++ b/packages/eventloop/tests/eventloop_test.cpp
@@ -31,4 +31,16 @@
     loop.Run();
     CHECK(fired == 0);
   }
+
+  SUBCASE("those that are due run when the loop is told to look")
+  {
+    // Guards against deadlines that end late by the time for which the machine was suspended.
+    auto due = loop.RunAfter(Milliseconds(1), [&] {
+      ++fired;
+      loop.Stop();
+    });
+    loop.CheckTimers();
+    loop.Run();
+    CHECK(fired == 1);
+  }
 }
--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -65,6 +65,7 @@
   bool isDraining = false;
   Milliseconds warmupLeft{ 0 }; ///< Slower than usual for so long.
   int64_t startedAtMs = 0;      ///< Tells two runs under the same id apart.
+  uint64_t sequence = 0;        ///< Grows with each report; starts anew with each run.
 
   friend bool operator==(const RegisteredUpstream&, const RegisteredUpstream&) = default;
 };
@@ -97,9 +98,11 @@
   /// All rows of a table.
   virtual void Read(std::string_view aTable, Duration aDeadline, Callback<StoreRows> aCallback) = 0;
   /// Changes after a version; answers as soon as there is one, or without any after the wait.
+  /// @param aDeadline For the answer, beyond the wait.
   virtual void Watch(std::string_view aTable,
                      uint64_t aAfter,
                      Duration aWait,
+                     Duration aDeadline,
                      Callback<StoreRows> aCallback) = 0;
   virtual void Put(std::string_view aTable,
                    std::string_view aKey,
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -5,6 +5,11 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(50);
+/// A host that stood still for so long, suspended or without processor time, may have missed a
+/// change; a shorter pause delays what it knows no more than the store's usual intervals do.
+constexpr Duration kMinStall = std::chrono::seconds(1);
+/// Without an answer of the store or a peer by then, the host serves from what it knows.
+constexpr Duration kConfirmationWait = std::chrono::seconds(1);
 
 } // namespace
 
@@ -88,6 +93,7 @@
 void FleetControl::Start()
 {
   thread_ = std::thread([this] {
+    lastTick_ = Now();
     tick_ = loop_.RunEvery(kTickInterval, [this] { Tick(); });
     startedAt_ = Now();
     ReadStore(startedAt_);
@@ -139,6 +145,7 @@
 void FleetControl::Tick()
 {
   const TimePoint now = Now();
+  NoticeStall(now);
   slots_->Tick(now);
   ReadStore(now);
   SendHeartbeats(now);
@@ -154,9 +161,45 @@
   }
 }
 
+/// After a stall nothing is decided from what was known before it until that is confirmed.
+void FleetControl::NoticeStall(TimePoint aNow)
+{
+  const Duration stalled = aNow - std::exchange(lastTick_, aNow);
+  if (stalled >= kMinStall) {
+    Log(LogLevel::Warning,
+        "resumed",
+        { { "stalled_ms", stalled / Milliseconds(1) },
+          { "revision", revision_ },
+          { "registry_version", registry_.Version() } });
+    resumedAt_ = aNow;
+    shared_.isCurrent = false;
+    if (shared_.onResumed) {
+      shared_.onResumed();
+    }
+    ReadConfiguration();
+    ReadUpstreams();
+    nextAsk_ = {};
+  }
+  if (shared_.isCurrent) {
+    return;
+  }
+  const bool isConfirmed = registry_.LastFresh() > resumedAt_ && configurationFresh_ > resumedAt_;
+  if (isConfirmed || aNow - resumedAt_ > kConfirmationWait) {
+    Log(LogLevel::Info,
+        "knowledge_confirmed",
+        { { "confirmed", isConfirmed },
+          { "waited_ms", (aNow - resumedAt_) / Milliseconds(1) },
+          { "revision", revision_ } });
+    shared_.isCurrent = true;
+    if (shared_.onRoutes) {
+      shared_.onRoutes();
+    }
+  }
+}
+
 bool FleetControl::IsReady() const
 {
-  return !isStopping_ && revision_ != 0 && registry_.IsKnown();
+  return !isStopping_ && shared_.isCurrent && revision_ != 0 && registry_.IsKnown();
 }
 
 void FleetControl::ServeAdmin(const HttpRequest& aRequest, HttpReply& aReply)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -20,8 +20,14 @@
 struct FleetShared
 {
   std::atomic<std::shared_ptr<const HostRoutes>> routes; ///< Null until a configuration is known.
-  /// Called on the control thread after routes has changed; set before the control thread starts.
+  /// False after this host has stood still until the store or a peer has confirmed what this host
+  /// knows; requests wait for it.
+  std::atomic<bool> isCurrent{ true };
+  /// Called on the control thread after routes or isCurrent has changed; set before the control
+  /// thread starts.
   std::function<void()> onRoutes;
+  /// Called on the control thread when this host has stood still, like onRoutes.
+  std::function<void()> onResumed;
 };
 
 /// Control thread of a host: reads the store, exchanges what was read with the peers, and places
@@ -50,16 +56,18 @@
 
 private:
   void Tick();
+  void NoticeStall(TimePoint aNow);
   void Register();
   void ReadMembers();
   void ReadUpstreams();
   void ReadConfiguration();
   void WatchConfiguration();
-  void OnUpstreamRows(const Result<StoreRows>& aRows);
+  void OnUpstreamRows(const StoreRows& aRows, bool aIsMerge);
   void OnConfigurationRows(const Result<StoreRows>& aRows);
   /// @return Whether the configuration is in force now and was not before.
   bool AdoptConfiguration(uint64_t aVersion, std::string_view aDocument, std::string_view aSource);
   void OnRegistryChange(const RegistryChange& aChange, std::string_view aSource);
+  void LogUpstreams(const RegistryChange& aChange, std::string_view aSource) const;
   void NoteStoreResult(bool aIsUp, const Error* aError);
 
   void HandleMessage(std::string_view aBytes);
@@ -127,6 +135,8 @@
   TimePoint nextMembersRead_{};
   TimePoint nextAsk_{};
   TimePoint startedAt_{};
+  TimePoint lastTick_{};
+  TimePoint resumedAt_{};     ///< When the last stall was noticed.
   uint32_t readFailures_ = 0; ///< Since the last success.
 };
 
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -67,7 +67,7 @@
 
 void FleetControl::AskPeer(TimePoint aNow)
 {
-  const bool isStale = !registry_.IsKnown() || revision_ == 0 ||
+  const bool isStale = !shared_.isCurrent || !registry_.IsKnown() || revision_ == 0 ||
                        aNow - registry_.LastFresh() > kAskAfter ||
                        aNow - configurationFresh_ > kConfigurationStale + kAskAfter;
   if (!isStale || aNow < nextAsk_ || members_->Count() < 2) {
@@ -207,10 +207,12 @@
   bool isAdopted = false;
   if (view.version() >= registry_.Version()) {
     const TimePoint freshAt = now - Milliseconds(view.registry_age_ms());
-    if (!registry_.Apply(change, view.full(), view.version(), view.digest(), freshAt, now)) {
+    RegistryChange effect;
+    if (!registry_.Apply(
+          change, view.full(), view.version(), view.digest(), freshAt, now, effect)) {
       SendHello(host, true);
     }
-    OnRegistryChange(change, host);
+    OnRegistryChange(effect, host);
   }
   if (!view.configuration().empty()) {
     isAdopted = AdoptConfiguration(view.configuration_version(), view.configuration(), host);
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -15,12 +15,16 @@
 /// How long the store holds back the answer to a watch. The watching host may be turned away or its
 /// open connection may go silent, and a change is to be in force within 2 s all the same.
 constexpr Duration kWatchWait = Milliseconds(700);
+/// Time for the answer to a watch beyond the wait; without an answer the table is read.
+constexpr Duration kWatchGrace = Milliseconds(500);
 /// Hosts that missed a new peer's greeting find it in the store.
 constexpr Duration kMembersInterval = std::chrono::seconds(60);
 /// A host that starts waits so long for the answers of peers, and a step for each host before it.
 constexpr Duration kStartWait = Milliseconds(250);
 constexpr Duration kStartStep = Milliseconds(60);
 constexpr size_t kMaxStartRank = 20;
+/// More changes at once, as at the start, are one line with their number.
+constexpr size_t kMaxLoggedUpstreams = 32;
 /// Table in which the hosts of the fleet register.
 constexpr std::string_view kMembersTable = "members";
 
@@ -153,40 +157,61 @@
     return;
   }
   isReadingUpstreams_ = true;
-  platform_.store->Read(
-    platform_.upstreamTable, kStoreDeadline, [this](const Result<StoreRows>& aRows) {
-      isReadingUpstreams_ = false;
-      NoteStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
-      OnUpstreamRows(aRows);
-    });
+  const bool isMerge = registry_.CanMerge(Now());
+  auto callback = [this, isMerge, askedAt = Now()](const Result<StoreRows>& aRows) {
+    isReadingUpstreams_ = false;
+    if (askedAt < resumedAt_) {
+      return ReadUpstreams(); // The answer may be as old as the stall was long.
+    }
+    if (isMerge && !aRows && aRows.Failure().code == make_error_code(Errc::NotFound)) {
+      registry_.RequireFullRead(); // The store has dropped the history.
+      return ReadUpstreams();
+    }
+    NoteStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
+    if (aRows) {
+      OnUpstreamRows(*aRows, isMerge);
+    }
+  };
+  if (isMerge) {
+    platform_.store->Watch(platform_.upstreamTable,
+                           registry_.Version(),
+                           Duration(0),
+                           kStoreDeadline,
+                           std::move(callback));
+  } else {
+    platform_.store->Read(platform_.upstreamTable, kStoreDeadline, std::move(callback));
+  }
 }
 
-void FleetControl::OnUpstreamRows(const Result<StoreRows>& aRows)
+void FleetControl::OnUpstreamRows(const StoreRows& aRows, bool aIsMerge)
 {
-  if (!aRows) {
-    return;
-  }
   std::vector<RegisteredUpstream> upstreams;
-  for (const StoreRow& row : aRows->rows) {
+  std::vector<std::string> gone;
+  for (const StoreRow& row : aRows.rows) {
+    if (row.isDeleted) {
+      gone.push_back(row.key);
+      continue;
+    }
     auto upstream = platform_.parseUpstream(row.key, row.value);
     if (upstream) {
       upstreams.push_back(std::move(*upstream));
-    } else if (registry_.Find(row.key) != nullptr || !registry_.IsKnown()) {
+      continue;
+    }
+    gone.push_back(row.key);
+    if (registry_.Find(row.key) != nullptr || !registry_.IsKnown()) {
       Log(LogLevel::Warning,
           "upstream_unreadable",
           { { "upstream", row.key }, { "detail", upstream.Failure().detail } });
     }
   }
-  const RegistryChange change = registry_.Replace(upstreams, aRows->version, Now());
+  const RegistryChange change = aIsMerge ? registry_.Merge(upstreams, gone, aRows.version, Now())
+                                         : registry_.Replace(upstreams, aRows.version, Now());
   OnRegistryChange(change, "store");
   ShareView(change, false);
 }
 
-void FleetControl::OnRegistryChange(const RegistryChange& aChange, std::string_view aSource)
+void FleetControl::LogUpstreams(const RegistryChange& aChange, std::string_view aSource) const
 {
-  if (aChange.Empty()) {
-    return;
-  }
   for (const RegisteredUpstream& upstream : aChange.changed) {
     Log(LogLevel::Info,
         "upstream_changed",
@@ -201,6 +226,24 @@
         "upstream_removed",
         { { "upstream", id }, { "version", registry_.Version() }, { "source", aSource } });
   }
+}
+
+void FleetControl::OnRegistryChange(const RegistryChange& aChange, std::string_view aSource)
+{
+  if (aChange.Empty()) {
+    return;
+  }
+  if (aChange.changed.size() + aChange.removed.size() > kMaxLoggedUpstreams) {
+    Log(LogLevel::Info,
+        "upstreams_changed",
+        { { "changed", aChange.changed.size() },
+          { "removed", aChange.removed.size() },
+          { "upstreams", registry_.Upstreams().size() },
+          { "version", registry_.Version() },
+          { "source", aSource } });
+  } else {
+    LogUpstreams(aChange, aSource);
+  }
   slots_->Update(Now());
   nextHeartbeat_ = {}; // The allocators may have changed.
 }
@@ -211,16 +254,21 @@
     return;
   }
   isReadingConfiguration_ = true;
-  platform_.store->Read(
-    platform_.configurationTable, kDocumentDeadline, [this](const Result<StoreRows>& aRows) {
-      isReadingConfiguration_ = false;
-      NoteStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
-      if (!aRows && !newerConfigurationAt_.empty()) {
-        SendHello(newerConfigurationAt_, true);
-      }
-      newerConfigurationAt_.clear();
-      OnConfigurationRows(aRows);
-    });
+  platform_.store->Read(platform_.configurationTable,
+                        kDocumentDeadline,
+                        [this, askedAt = Now()](const Result<StoreRows>& aRows) {
+                          isReadingConfiguration_ = false;
+                          if (askedAt < resumedAt_) {
+                            return ReadConfiguration();
+                          }
+                          NoteStoreResult(static_cast<bool>(aRows),
+                                          aRows ? nullptr : &aRows.Failure());
+                          if (!aRows && !newerConfigurationAt_.empty()) {
+                            SendHello(newerConfigurationAt_, true);
+                          }
+                          newerConfigurationAt_.clear();
+                          OnConfigurationRows(aRows);
+                        });
 }
 
 void FleetControl::WatchConfiguration()
@@ -232,9 +280,10 @@
   platform_.store->Watch(platform_.configurationTable,
                          configurationVersion_,
                          kWatchWait,
-                         [this](const Result<StoreRows>& aRows) {
+                         kWatchGrace,
+                         [this, askedAt = Now()](const Result<StoreRows>& aRows) {
                            isWatching_ = false;
-                           if (!aRows) {
+                           if (!aRows || askedAt < resumedAt_) {
                              // The change that the answer would have told may be in the table.
                              ReadConfiguration();
                              return;
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -34,6 +34,7 @@
   upstream.set_draining(aUpstream.isDraining);
   upstream.set_warmup_left_ms(ToWireMs(aUpstream.warmupLeft));
   upstream.set_started_at_ms(aUpstream.startedAtMs);
+  upstream.set_sequence(aUpstream.sequence);
   return upstream;
 }
 
@@ -49,6 +50,7 @@
   upstream.isDraining = aUpstream.draining();
   upstream.warmupLeft = Milliseconds(aUpstream.warmup_left_ms());
   upstream.startedAtMs = aUpstream.started_at_ms();
+  upstream.sequence = aUpstream.sequence();
   return upstream;
 }
 
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -31,8 +31,26 @@
 {
 }
 
+bool Registry::IsOvertaken(const RegisteredUpstream& aUpstream) const
+{
+  if (aUpstream.startedAtMs == 0) {
+    return false; // Runs under the same id cannot be told apart.
+  }
+  if (const auto known = upstreams_.find(aUpstream.id); known != upstreams_.end()) {
+    return known->second.startedAtMs == aUpstream.startedAtMs &&
+           known->second.sequence > aUpstream.sequence;
+  }
+  const auto gone = gone_.find(aUpstream.id);
+  return gone != gone_.end() && gone->second.startedAtMs == aUpstream.startedAtMs &&
+         gone->second.sequence > aUpstream.sequence;
+}
+
 void Registry::Set(const RegisteredUpstream& aUpstream, TimePoint aNow, RegistryChange& aChange)
 {
+  if (IsOvertaken(aUpstream)) {
+    return;
+  }
+  missing_.erase(aUpstream.id);
   const auto known = upstreams_.find(aUpstream.id);
   if (known == upstreams_.end() || !IsSame(known->second, aUpstream)) {
     aChange.changed.push_back(aUpstream);
@@ -41,39 +59,85 @@
   upstreams_.insert_or_assign(aUpstream.id, aUpstream);
 }
 
-RegistryChange Registry::Replace(std::span<const RegisteredUpstream> aUpstreams,
-                                 uint64_t aVersion,
-                                 TimePoint aNow)
+void Registry::Remove(const std::string& aId, TimePoint aNow, RegistryChange& aChange)
+{
+  const auto known = upstreams_.find(aId);
+  if (known == upstreams_.end()) {
+    return;
+  }
+  gone_.insert_or_assign(
+    aId, Gone{ known->second.startedAtMs, known->second.sequence, aNow + init_.goneMemory });
+  aChange.removed.push_back(aId);
+  coldUntil_.erase(aId);
+  upstreams_.erase(known);
+}
+
+bool Registry::NoteRead(uint64_t aVersion, TimePoint aNow)
 {
-  RegistryChange change;
   if (isKnown_ && aNow - lastRead_ > init_.outageLimit && aNow - lastFresh_ > init_.outageLimit) {
     lapseUntil_ = aNow + init_.lapseGrace;
   }
   lastRead_ = aNow;
   if (aVersion < version_) {
-    return change;
+    return false;
   }
   lastFresh_ = aNow;
   isKnown_ = true;
   version_ = aVersion;
-  std::map<std::string_view, const RegisteredUpstream*> present;
+  std::erase_if(gone_, [aNow](const auto& aEntry) { return aEntry.second.forgetAt <= aNow; });
+  return true;
+}
+
+void Registry::RemoveMissing(TimePoint aNow, RegistryChange& aChange)
+{
+  if (aNow < lapseUntil_) {
+    return;
+  }
+  for (const std::string& id : std::exchange(missing_, {})) {
+    Remove(id, aNow, aChange);
+  }
+}
+
+RegistryChange Registry::Replace(std::span<const RegisteredUpstream> aUpstreams,
+                                 uint64_t aVersion,
+                                 TimePoint aNow)
+{
+  RegistryChange change;
+  if (!NoteRead(aVersion, aNow)) {
+    return change;
+  }
+  lastFull_ = aNow;
+  for (const auto& [id, upstream] : upstreams_) {
+    missing_.insert(id);
+  }
   for (const RegisteredUpstream& upstream : aUpstreams) {
-    present.emplace(upstream.id, &upstream);
+    missing_.erase(upstream.id);
     Set(upstream, aNow, change);
   }
-  const bool mayHaveLapsed = aNow < lapseUntil_;
-  for (auto next = upstreams_.begin(); next != upstreams_.end();) {
-    const auto current = next++;
-    if (present.contains(current->first)) {
-      continue;
-    }
-    if (mayHaveLapsed) {
-      continue;
-    }
-    change.removed.push_back(current->first);
-    coldUntil_.erase(current->first);
-    upstreams_.erase(current);
+  RemoveMissing(aNow, change);
+  return change;
+}
+
+bool Registry::CanMerge(TimePoint aNow) const
+{
+  return lastFull_ != TimePoint{} && aNow - lastFull_ < init_.fullInterval &&
+         aNow - lastRead_ < init_.mergeLimit;
+}
+
+RegistryChange Registry::Merge(std::span<const RegisteredUpstream> aChanged,
+                               std::span<const std::string> aGone,
+                               uint64_t aVersion,
+                               TimePoint aNow)
+{
+  RegistryChange change;
+  if (!NoteRead(aVersion, aNow)) {
+    return change;
   }
+  missing_.insert(aGone.begin(), aGone.end());
+  for (const RegisteredUpstream& upstream : aChanged) {
+    Set(upstream, aNow, change);
+  }
+  RemoveMissing(aNow, change);
   return change;
 }
 
@@ -82,27 +146,31 @@
                      uint64_t aVersion,
                      uint64_t aDigest,
                      TimePoint aFreshAt,
-                     TimePoint aNow)
+                     TimePoint aNow,
+                     RegistryChange& aEffect)
 {
+  aEffect = {};
   if (aVersion < version_) {
     return true;
   }
-  RegistryChange ignored;
+  std::vector<std::string> gone(aChange.removed);
   if (aFull) {
-    std::map<std::string, RegisteredUpstream, std::less<>> previous = std::move(upstreams_);
-    upstreams_.clear();
+    RequireFullRead(); // Which of these entries the store still has is not known here.
+    std::set<std::string_view> present;
     for (const RegisteredUpstream& upstream : aChange.changed) {
-      if (auto node = previous.extract(upstream.id)) {
-        upstreams_.insert(std::move(node));
+      present.insert(upstream.id);
+    }
+    for (const auto& [id, upstream] : upstreams_) {
+      if (!present.contains(id)) {
+        gone.push_back(id);
       }
     }
   }
   for (const RegisteredUpstream& upstream : aChange.changed) {
-    Set(upstream, aNow, ignored);
+    Set(upstream, aNow, aEffect);
   }
-  for (const std::string& id : aChange.removed) {
-    upstreams_.erase(id);
-    coldUntil_.erase(id);
+  for (const std::string& id : gone) {
+    Remove(id, aNow, aEffect);
   }
   if (!aFull && Digest() != aDigest) {
     return false;
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -24,11 +25,20 @@
   Duration lapseGrace = Milliseconds(2200);
   /// Without a read for so long, missing entries may have lapsed rather than left.
   Duration outageLimit = Milliseconds(3500);
+  /// Changes are read for so long before all entries are read again, in case one was missed.
+  Duration fullInterval = std::chrono::seconds(20);
+  /// A host that has not read for so long reads all entries: it does not know which ones another
+  /// reader kept after an outage.
+  Duration mergeLimit = std::chrono::seconds(2);
+  /// A write whose answer was lost may still take effect several seconds later.
+  Duration goneMemory = std::chrono::seconds(30);
 };
 
 /// The registered upstreams as read from the store or heard from peers.
 ///
-/// States are ordered by the store's version; an older one never replaces a newer one.
+/// States are ordered by the store's version; an older one never replaces a newer one. Reports of
+/// one run of an upstream are ordered by their sequence, because the store may perform a write
+/// late.
 class Registry
 {
 public:
@@ -39,15 +49,27 @@
                          uint64_t aVersion,
                          TimePoint aNow);
 
+  /// Whether changes since Version() are enough, or all entries have to be read.
+  bool CanMerge(TimePoint aNow) const;
+  void RequireFullRead() { lastFull_ = TimePoint{}; }
+  /// Takes the entries that have changed in the store since Version(), read by this host.
+  /// @param aGone Upstreams whose entry is deleted or names none any more.
+  RegistryChange Merge(std::span<const RegisteredUpstream> aChanged,
+                       std::span<const std::string> aGone,
+                       uint64_t aVersion,
+                       TimePoint aNow);
+
   /// Takes a peer's changes, or its whole state.
   /// @param aFreshAt When the peer's state was the newest one.
+  /// @param aEffect Set to what has changed here.
   /// @return False when the state then differs from the peer's, so that the whole state is needed.
   bool Apply(const RegistryChange& aChange,
              bool aFull,
              uint64_t aVersion,
              uint64_t aDigest,
              TimePoint aFreshAt,
-             TimePoint aNow);
+             TimePoint aNow,
+             RegistryChange& aEffect);
 
   const std::map<std::string, RegisteredUpstream, std::less<>>& Upstreams() const
   {
@@ -62,7 +84,20 @@
   TimePoint ColdUntil(std::string_view aId) const;
 
 private:
+  /// The last report of an upstream that is gone.
+  struct Gone
+  {
+    int64_t startedAtMs = 0;
+    uint64_t sequence = 0;
+    TimePoint forgetAt{};
+  };
+
   void Set(const RegisteredUpstream& aUpstream, TimePoint aNow, RegistryChange& aChange);
+  void Remove(const std::string& aId, TimePoint aNow, RegistryChange& aChange);
+  bool IsOvertaken(const RegisteredUpstream& aUpstream) const;
+  /// Notes a read of the store. @return False when the answer was overtaken by a later one.
+  bool NoteRead(uint64_t aVersion, TimePoint aNow);
+  void RemoveMissing(TimePoint aNow, RegistryChange& aChange);
 
   RegistryInit init_;
   std::map<std::string, RegisteredUpstream, std::less<>> upstreams_;
@@ -71,7 +106,10 @@
   bool isKnown_ = false;
   TimePoint lastFresh_{};
   TimePoint lastRead_{};   ///< By this host.
+  TimePoint lastFull_{};   ///< Last read of all entries; none since a peer's whole state.
   TimePoint lapseUntil_{}; ///< Missing entries are kept until then, after an outage.
+  std::set<std::string, std::less<>> missing_; ///< Kept although the store has no entry.
+  std::map<std::string, Gone, std::less<>> gone_;
 };
 
 /// When a host reads the store. The hosts of the fleet share what they read, so that each waits for
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -36,7 +36,7 @@
       self->OnCallerGone();
     }
   });
-  if (aTraffic.Shared().routes.load()) {
+  if (aTraffic.Shared().routes.load() && aTraffic.Shared().isCurrent) {
     session->Serve();
   } else {
     aTraffic.AwaitConfiguration(std::move(session));
@@ -80,12 +80,6 @@
     Fail(404, "unknown_route", "no route has this host and path", Duration(0));
     return false;
   }
-  const size_t limit = routes_->Configuration().limits.maxBodyBytes;
-  if (limit != 0 && request_.body && request_.body->size() > limit) {
-    Fail(
-      413, "body_too_large", "the body is over " + std::to_string(limit) + " bytes", Duration(0));
-    return false;
-  }
   Duration wait = route_->timeout > Milliseconds(0) ? Duration(route_->timeout) : kDefaultDeadline;
   if (caller_.deadline) {
     wait = std::min(wait, Duration(*caller_.deadline) - kReplyMargin);
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -42,7 +42,8 @@
   FleetMetrics& Metrics() { return metrics_; }
   uint64_t NextSequence() { return ++sequence_; }
   uint64_t Random();
-  /// The session is started when there is a configuration, or refused after a while.
+  /// The session is started when there is a current configuration, or after a while; it is refused
+  /// then when there is none at all.
   void AwaitConfiguration(std::shared_ptr<FleetSession> aSession);
   /// Requests of this host avoid an upstream that it could not reach.
   void MarkUnreachable(const std::string& aUpstream, TimePoint aNow);
@@ -51,6 +52,7 @@
   void SessionEnded() { active_.fetch_sub(1); }
 
 private:
+  void TakeConfiguration();
   void StartAwaiting();
 
   const FleetInit& init_;
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -6,8 +6,8 @@
 
 /// An upstream without a connection from this host is avoided for this long; cuts last seconds.
 constexpr Duration kUnreachablePeriod = std::chrono::seconds(2);
-/// A host that starts has a configuration after some 100 ms; a request that waits for it is still
-/// answered in time.
+/// A host that starts or resumes has a current configuration after some 100 ms; a request that
+/// waits for it is still answered in time.
 constexpr Duration kConfigurationWait = Milliseconds(500);
 /// Largest body that is read before the configuration states a limit.
 constexpr size_t kMaxBodyBytes = kMaxBodyBytesLimit;
@@ -48,7 +48,8 @@
     return server.Failure();
   }
   server_ = std::move(*server);
-  shared_.onRoutes = [this] { loop_.Post([this] { StartAwaiting(); }); };
+  shared_.onRoutes = [this] { loop_.Post([this] { TakeConfiguration(); }); };
+  shared_.onResumed = [this] { loop_.CheckTimers(); };
   thread_ = std::thread([this] { loop_.Run(); });
   return std::nullopt;
 }
@@ -86,6 +87,16 @@
   awaiting_.push_back(std::move(aSession));
 }
 
+void FleetTraffic::TakeConfiguration()
+{
+  if (const auto routes = shared_.routes.load(); routes && server_) {
+    const CallerLimits& limits = routes->Configuration().limits;
+    server_->SetLimits(
+      { limits.maxHeaderBytes, limits.maxBodyBytes, limits.idleTimeout, limits.headTimeout });
+  }
+  StartAwaiting();
+}
+
 void FleetTraffic::StartAwaiting()
 {
   for (const auto& session : std::exchange(awaiting_, {})) {
--- /dev/null
+++ b/packages/fleet/tests/control_test.cpp
@@ -0,0 +1,187 @@
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+
+#include "control_p.h"
+#include "fake_row_store.h"
+#include "raw_tcp.h"
+
+using namespace bg;
+using namespace bg::fleet;
+using namespace bg::fleet::detail;
+using namespace bg::fleet::test;
+using bg::test::Eventually;
+
+namespace {
+
+constexpr const char* kConfigurationTable = "settings";
+constexpr const char* kUpstreamTable = "upstreams";
+
+/// A port that is free on each loopback address, as far as the system can tell.
+uint16_t FreePort()
+{
+  bg::test::ClosedPort port;
+  return port.Port();
+}
+
+/// The control thread of one host with its own view of the shared tables.
+class ControlHost
+{
+public:
+  ControlHost(FakeTables& aTables, const std::string& aName, int aNumber, uint16_t aPeerPort)
+  {
+    init_.host = aName;
+    init_.failureDomain = "a";
+    init_.address = "127.0.0." + std::to_string(aNumber);
+    init_.readinessAddress = init_.address;
+    init_.peerPort = aPeerPort;
+    init_.createPlatform = [this, &aTables](EventLoop& aLoop) {
+      loop = &aLoop;
+      return MakeAdapter(aLoop, aTables);
+    };
+    shared.onResumed = [this] { wasStale = !shared.isCurrent; };
+    control_ = std::make_unique<FleetControl>(init_, shared);
+    const auto error = control_->Bind();
+    REQUIRE_FALSE(error);
+    control_->Start();
+  }
+
+  uint64_t Revision() const
+  {
+    const auto routes = shared.routes.load();
+    return routes ? routes->Configuration().revision : 0;
+  }
+
+  /// Whether an upstream gets work.
+  bool Places(const std::string& aUpstream)
+  {
+    std::promise<bool> promise;
+    loop->Post([&] {
+      SlotQuery query;
+      query.service = "desk";
+      query.idempotent = true;
+      query.receivedAt = Now();
+      query.deadline = Now() + std::chrono::seconds(2);
+      const uint64_t sequence = ++sequence_;
+      control_->Acquire(sequence, query, [this, &promise, sequence, &aUpstream](SlotResult aSlot) {
+        control_->Release(sequence, placement::Outcome::Cancelled, Duration(0));
+        promise.set_value(aSlot.isGranted && aSlot.upstream.id == aUpstream);
+      });
+    });
+    return promise.get_future().get();
+  }
+
+  FakeFaults faults;
+  FleetShared shared;
+  EventLoop* loop = nullptr;
+  std::atomic<bool> wasStale = false; ///< The host has stood still and noticed it.
+
+private:
+  PlatformAdapter MakeAdapter(EventLoop& aLoop, FakeTables& aTables)
+  {
+    PlatformAdapter adapter;
+    adapter.store = std::make_unique<FakeRowStore>(aLoop, aTables, faults);
+    adapter.configurationTable = kConfigurationTable;
+    adapter.configurationKey = "current";
+    adapter.upstreamTable = kUpstreamTable;
+    adapter.parseConfiguration = [](std::string_view aDocument) -> Result<FleetConfiguration> {
+      FleetConfiguration configuration;
+      configuration.revision = std::stoull(std::string(aDocument));
+      return configuration;
+    };
+    adapter.parseUpstream = [](std::string_view aId,
+                               std::string_view aEntry) -> Result<RegisteredUpstream> {
+      RegisteredUpstream upstream;
+      upstream.id = aId;
+      upstream.service = "desk";
+      upstream.isDraining = aEntry == "draining";
+      return upstream;
+    };
+    return adapter;
+  }
+
+  FleetInit init_;
+  std::unique_ptr<FleetControl> control_;
+  uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a configuration reaches hosts that cannot read it as usual")
+{
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+
+  SUBCASE("over a link on which a large one takes two seconds")
+  {
+    // Guards against hosts with narrow links that give up and ask again before the answer is in.
+    ControlHost host(tables, "narrow", 2, port);
+    host.faults.readDelayMs = 2000;
+    CHECK(Eventually([&] { return host.Revision() == 1; }));
+  }
+  SUBCASE("while the store turns the host away that watches for the fleet")
+  {
+    // Guards against a fleet that waits for the one host whose watch fails.
+    constexpr Duration kInForce = std::chrono::seconds(2);
+    ControlHost one(tables, "one", 3, port);
+    ControlHost two(tables, "two", 4, port);
+    const auto revisionIs = [&](uint64_t aRevision) {
+      return Eventually([&] { return one.Revision() == aRevision && two.Revision() == aRevision; });
+    };
+    REQUIRE(revisionIs(1));
+    uint64_t revision = 1;
+    for (ControlHost* refused : { &one, &two }) {
+      refused->faults.refuses = true;
+      tables.Put(kConfigurationTable, "current", std::to_string(++revision));
+      const TimePoint changedAt = Now();
+      CHECK(revisionIs(revision));
+      CHECK(Now() - changedAt < kInForce);
+      refused->faults.refuses = false;
+    }
+  }
+}
+
+TEST_CASE("changes of upstreams reach all hosts")
+{
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+  ControlHost one(tables, "one", 3, port);
+  ControlHost two(tables, "two", 4, port);
+  REQUIRE(Eventually([&] { return one.Places("one") && two.Places("one"); }));
+  SUBCASE("when one is replaced by another")
+  {
+    tables.Put(kUpstreamTable, "two", "ready");
+    tables.Put(kUpstreamTable, "one", "draining");
+    CHECK(Eventually([&] { return one.Places("two") && two.Places("two"); }));
+    // Changes are told one by one; whole tables are read at the start only.
+    CHECK(one.faults.reads + two.faults.reads <= 8);
+  }
+  SUBCASE("when the store has dropped the history of the change")
+  {
+    tables.Put(kUpstreamTable, "two", "ready");
+    tables.Remove(kUpstreamTable, "one");
+    tables.ForgetHistory();
+    CHECK(Eventually([&] { return one.Places("two") && two.Places("two"); }));
+  }
+}
+
+TEST_CASE("a host that stood still serves nothing from what it knew before")
+{
+  // Guards against requests that are routed by a configuration that was replaced meanwhile.
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  ControlHost host(tables, "sleeper", 2, FreePort());
+  REQUIRE(Eventually([&] { return host.Revision() == 1 && host.Places("one"); }));
+  host.faults.readDelayMs = 200;
+  host.loop->Post([] { std::this_thread::sleep_for(Milliseconds(1300)); });
+  tables.Put(kConfigurationTable, "current", "2");
+  CHECK(Eventually([&] { return host.wasStale.load(); }));
+  CHECK(Eventually([&] { return host.shared.isCurrent.load(); }));
+  CHECK(host.Revision() == 2);
+}
--- /dev/null
+++ b/packages/fleet/tests/fake_row_store.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "boragegauge/fleet.h"
+
+namespace bg::fleet::test {
+
+/// Tables that the stores of several hosts share.
+class FakeTables
+{
+public:
+  void Put(const std::string& aTable, const std::string& aKey, std::string aValue)
+  {
+    const std::lock_guard lock(mutex_);
+    tables_[aTable][aKey] = { aKey, std::move(aValue), ++version_, false };
+  }
+
+  void Remove(const std::string& aTable, const std::string& aKey)
+  {
+    const std::lock_guard lock(mutex_);
+    tables_[aTable][aKey] = { aKey, "", ++version_, true };
+  }
+
+  /// Changes up to now are no longer told.
+  void ForgetHistory()
+  {
+    const std::lock_guard lock(mutex_);
+    forgotten_ = ++version_;
+  }
+
+  StoreRows Read(const std::string& aTable)
+  {
+    const std::lock_guard lock(mutex_);
+    StoreRows rows{ {}, version_ };
+    for (const auto& [key, row] : tables_[aTable]) {
+      if (!row.isDeleted) {
+        rows.rows.push_back(row);
+      }
+    }
+    return rows;
+  }
+
+  Result<StoreRows> ChangesAfter(const std::string& aTable, uint64_t aVersion)
+  {
+    const std::lock_guard lock(mutex_);
+    if (aVersion < forgotten_) {
+      return Error{ Errc::NotFound, "fake.watch", "", "history is gone" };
+    }
+    StoreRows rows{ {}, version_ };
+    for (const auto& [key, row] : tables_[aTable]) {
+      if (row.version > aVersion) {
+        rows.rows.push_back(row);
+      }
+    }
+    return rows;
+  }
+
+private:
+  std::mutex mutex_;
+  std::map<std::string, std::map<std::string, StoreRow>> tables_;
+  uint64_t version_ = 0;
+  uint64_t forgotten_ = 0;
+};
+
+/// Faults of the store as one host sees it. Thread-safe.
+struct FakeFaults
+{
+  std::atomic<bool> refuses = false;
+  std::atomic<int> readDelayMs = 0; ///< Of whole tables; over the deadline there is no answer.
+  std::atomic<int> reads = 0;       ///< Whole tables that were asked for.
+  std::atomic<int> watches = 0;
+};
+
+class FakeRowStore : public RowStore
+{
+public:
+  FakeRowStore(EventLoop& aLoop, FakeTables& aTables, FakeFaults& aFaults)
+    : loop_(aLoop)
+    , tables_(aTables)
+    , faults_(aFaults)
+  {
+  }
+
+  void Read(std::string_view aTable, Duration aDeadline, Callback<StoreRows> aCallback) override
+  {
+    ++faults_.reads;
+    if (faults_.refuses) {
+      return Refuse(std::move(aCallback));
+    }
+    const Duration delay = Milliseconds(faults_.readDelayMs);
+    if (delay > aDeadline) {
+      return After(aDeadline, [aCallback = std::move(aCallback)] {
+        aCallback(Error{ Errc::OutcomeUnknown, "fake.read", "", "no answer" });
+      });
+    }
+    After(delay, [this, table = std::string(aTable), aCallback = std::move(aCallback)] {
+      aCallback(tables_.Read(table));
+    });
+  }
+
+  void Watch(std::string_view aTable,
+             uint64_t aAfter,
+             Duration aWait,
+             Duration /*aDeadline*/,
+             Callback<StoreRows> aCallback) override
+  {
+    ++faults_.watches;
+    if (faults_.refuses) {
+      return Refuse(std::move(aCallback));
+    }
+    Poll(std::string(aTable), aAfter, Now() + aWait, std::move(aCallback));
+  }
+
+  void Put(std::string_view aTable,
+           std::string_view aKey,
+           std::string_view aValue,
+           Duration /*aDeadline*/,
+           Callback<uint64_t> aCallback) override
+  {
+    if (faults_.refuses) {
+      return Refuse(std::move(aCallback));
+    }
+    tables_.Put(std::string(aTable), std::string(aKey), std::string(aValue));
+    After(Duration(0), [aCallback = std::move(aCallback)] { aCallback(uint64_t{ 1 }); });
+  }
+
+private:
+  template<typename T>
+  void Refuse(Callback<T> aCallback)
+  {
+    After(Duration(0), [aCallback = std::move(aCallback)] {
+      aCallback(Error{ Errc::Unavailable, "fake.call", "", "turned away" });
+    });
+  }
+
+  void Poll(std::string aTable, uint64_t aAfter, TimePoint aUntil, Callback<StoreRows> aCallback)
+  {
+    Result<StoreRows> rows = tables_.ChangesAfter(aTable, aAfter);
+    if (!rows || !rows->rows.empty() || Now() >= aUntil) {
+      return After(Duration(0),
+                   [rows = std::move(rows), aCallback = std::move(aCallback)] { aCallback(rows); });
+    }
+    After(Milliseconds(10),
+          [this, aTable = std::move(aTable), aAfter, aUntil, aCallback = std::move(aCallback)] {
+            Poll(aTable, aAfter, aUntil, aCallback);
+          });
+  }
+
+  void After(Duration aDelay, std::function<void()> aCallback)
+  {
+    timers_.push_back(loop_.RunAfter(aDelay, std::move(aCallback)));
+  }
+
+  EventLoop& loop_;
+  FakeTables& tables_;
+  FakeFaults& faults_;
+  std::vector<std::unique_ptr<EventLoop::Timer>> timers_; ///< Kept to the end of the test.
+};
+
+} // namespace bg::fleet::test
--- a/packages/httpd/include/boragegauge/httpd.h
+++ b/packages/httpd/include/boragegauge/httpd.h
@@ -71,7 +71,8 @@
   Asio,
   /// Closes the connection without a status on bodies over the limit and on malformed HTTP, joins
   /// folded header lines, ignores Expect, has no byte budget, answers Abort() with 500 and closes
-  /// idle connections only after idleTimeout when it stops; for the admin address.
+  /// idle connections only after idleTimeout when it stops, and keeps its limits; for the admin
+  /// address.
   Restinio,
 
   Count
@@ -85,12 +86,22 @@
   uint64_t rejected = 0;    ///< Malformed or over a limit.
 };
 
+/// Limits that may change while a server runs; 0 leaves one as it is.
+struct HttpLimits
+{
+  size_t maxHeaderBytes = 0; ///< Of the header section, up to kMaxHeaderBytes.
+  size_t maxBodyBytes = 0;
+  Duration idleTimeout{ 0 }; ///< Between two requests.
+  Duration headTimeout{ 0 }; ///< For a head after its first byte.
+};
+
 struct HttpServerInit
 {
   EventLoop* loop = nullptr;
   std::string address = "127.0.0.1";
   uint16_t port = 0;      ///< 0: chosen by the system.
   bool reusePort = false; ///< Several servers, one per traffic thread, share the port.
+  size_t maxHeaderBytes = kMaxHeaderBytes; ///< Of the header section.
   size_t maxBodyBytes = 1UL << 20;
   HttpBackend backend = HttpBackend::Asio;
   std::shared_ptr<ByteBudget> budget{}; ///< Requests over it are answered with 503; null: no limit.
@@ -113,6 +124,8 @@
   virtual HttpServerStats Stats() const = 0;
   /// Responses carry "Connection: close" from now on; new connections are still accepted.
   virtual void CloseAfterResponses() = 0;
+  /// Holds for requests that begin later. Loop thread only.
+  virtual void SetLimits(const HttpLimits& aLimits) = 0;
 };
 
 /// Fails with Unavailable when the address cannot be bound.
--- a/packages/httpd/src/asio_connection.cpp
+++ b/packages/httpd/src/asio_connection.cpp
@@ -4,10 +4,10 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include "asio_server_p.h"
+#include "boragegauge/boot_timer.h"
 
 namespace bg {
 
@@ -25,7 +25,7 @@
 /// After the last response the connection is read for this long, so that the close does not
 /// discard a response that the caller has not read yet.
 constexpr auto kLingerTime = std::chrono::seconds(2);
-constexpr size_t kMaxLingerBytes = 16UL << 20;
+constexpr size_t kMaxLingerBytes = kMaxBodyBytesLimit;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -138,7 +138,7 @@
 
   std::shared_ptr<ConnectionContext> state_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  BootTimer timer_;
   TimePoint deadline_ = TimePoint::max();
   TimePoint timerExpiry_ = TimePoint::max();
   std::string remoteAddress_;
@@ -259,6 +259,9 @@
     return;
   }
   if (phase_ == Phase::Reading) {
+    if (!reader_.Pending()) {
+      reader_.SetLimits(state_->init.maxHeaderBytes, state_->init.maxBodyBytes);
+    }
     Advance(reader_.Feed(aBytes));
   } else {
     reader_.Hold(aBytes);
--- a/packages/httpd/src/asio_server.cpp
+++ b/packages/httpd/src/asio_server.cpp
@@ -4,10 +4,10 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <sys/socket.h>
 
 #include "asio_server_p.h"
+#include "boragegauge/boot_timer.h"
 
 namespace bg {
 
@@ -115,7 +115,7 @@
 
   std::shared_ptr<ConnectionContext> context_;
   tcp::acceptor acceptor_;
-  asio::steady_timer timer_;
+  BootTimer timer_;
   bool isV6_ = false;
 };
 
@@ -161,6 +161,23 @@
 
   void CloseAfterResponses() override { context_->closing = true; }
 
+  void SetLimits(const HttpLimits& aLimits) override
+  {
+    HttpServerInit& init = context_->init;
+    if (aLimits.maxHeaderBytes > 0) {
+      init.maxHeaderBytes = std::min(aLimits.maxHeaderBytes, kMaxHeaderBytes);
+    }
+    if (aLimits.maxBodyBytes > 0) {
+      init.maxBodyBytes = aLimits.maxBodyBytes;
+    }
+    if (aLimits.idleTimeout > Duration(0)) {
+      init.idleTimeout = aLimits.idleTimeout;
+    }
+    if (aLimits.headTimeout > Duration(0)) {
+      init.headTimeout = aLimits.headTimeout;
+    }
+  }
+
 private:
   std::shared_ptr<ConnectionContext> context_;
   std::shared_ptr<Listener> listener_;
--- a/packages/httpd/src/asio_server_p.h
+++ b/packages/httpd/src/asio_server_p.h
@@ -55,9 +55,13 @@
 /// Looks for the end of a request head.
 /// @param aScanned Bytes that earlier calls have checked; updated.
 /// @param aEnd Set to the size of the head including the empty line, 0 while it is incomplete.
+/// @param aMaxHeaderBytes Limit of the header section.
 /// @returns A refusal as soon as the bytes cannot become an acceptable head: bare CR or LF, folded
 /// lines, NUL, lines or sections over the limits.
-std::optional<Refusal> ScanHead(std::string_view aBytes, size_t& aScanned, size_t& aEnd);
+std::optional<Refusal> ScanHead(std::string_view aBytes,
+                                size_t& aScanned,
+                                size_t& aEnd,
+                                size_t aMaxHeaderBytes);
 
 /// Parses a complete head and checks it with CheckHead(). The head is filled as far as it was
 /// parsed, so that a refusal can carry the caller's request id.
@@ -96,6 +100,13 @@
 
   RequestReader(size_t aMaxBodyBytes, std::shared_ptr<ByteBudget> aBudget);
 
+  /// Holds from the next request on; not while one is pending.
+  void SetLimits(size_t aMaxHeaderBytes, size_t aMaxBodyBytes)
+  {
+    maxHeaderBytes_ = aMaxHeaderBytes;
+    maxBodyBytes_ = aMaxBodyBytes;
+  }
+
   /// Takes bytes of the current request; call again with no bytes after StartNext().
   Status Feed(std::string_view aBytes);
 
@@ -125,6 +136,7 @@
   Status ReadBody(std::string_view aBytes);
   Status ReadChunks(std::string_view& aBytes);
 
+  size_t maxHeaderBytes_ = kMaxHeaderBytes;
   size_t maxBodyBytes_;
   std::shared_ptr<ByteBudget> budget_;
   std::string input_;  ///< Received bytes that no request has taken yet.
--- a/packages/httpd/src/head_check.cpp
+++ b/packages/httpd/src/head_check.cpp
@@ -40,6 +40,36 @@
   return byte == 0x7f || byte < 0x20;
 }
 
+/// Whether a path segment is "." or "..", plain or percent-encoded. Upstreams resolve these, so
+/// that a request would be routed by another path than the one that is served.
+bool IsDotSegment(std::string_view aSegment)
+{
+  size_t dots = 0;
+  while (!aSegment.empty()) {
+    const size_t size = aSegment.front() == '.'                                        ? 1
+                        : aSegment.size() >= 3 && Equals(aSegment.substr(0, 3), "%2e") ? 3
+                                                                                       : 0;
+    if (size == 0 || ++dots > 2) {
+      return false;
+    }
+    aSegment.remove_prefix(size);
+  }
+  return dots > 0;
+}
+
+bool HasDotSegment(std::string_view aTarget)
+{
+  std::string_view path = aTarget.substr(0, aTarget.find('?'));
+  while (!path.empty()) {
+    const size_t end = path.find('/');
+    if (IsDotSegment(path.substr(0, end))) {
+      return true;
+    }
+    path.remove_prefix(end == std::string_view::npos ? path.size() : end + 1);
+  }
+  return false;
+}
+
 std::optional<Refusal> CheckTarget(std::string_view aMethod, std::string_view aTarget)
 {
   if (aTarget.size() > kMaxTargetBytes) {
@@ -55,8 +85,11 @@
     return aChar > ' ' && aChar < 0x7f && aChar != '#' && aChar != '"' && aChar != '<' &&
            aChar != '>' && aChar != '\\';
   });
-  return valid ? std::nullopt
-               : std::optional<Refusal>({ 400, "request target has invalid characters" });
+  if (!valid) {
+    return Refusal{ 400, "request target has invalid characters" };
+  }
+  return HasDotSegment(aTarget) ? std::optional<Refusal>({ 400, "request target has dot segments" })
+                                : std::nullopt;
 }
 
 bool IsHost(std::string_view aValue)
--- a/packages/httpd/src/head_parser.cpp
+++ b/packages/httpd/src/head_parser.cpp
@@ -102,9 +102,13 @@
 
 } // namespace
 
-std::optional<Refusal> ScanHead(std::string_view aBytes, size_t& aScanned, size_t& aEnd)
+std::optional<Refusal> ScanHead(std::string_view aBytes,
+                                size_t& aScanned,
+                                size_t& aEnd,
+                                size_t aMaxHeaderBytes)
 {
   aEnd = 0;
+  const size_t sectionStart = aBytes.find('\n') + 1; // 0 while the request line is incomplete.
   // Starts again at the line that was incomplete, which the line limit keeps short.
   size_t lineStart = aScanned;
   while (true) {
@@ -117,7 +121,7 @@
       return first ? Refusal{ 414, "request target is too long" }
                    : Refusal{ 431, "header line is too long" };
     }
-    if (lineStart + line.size() > kMaxHeaderBytes + kMaxTargetBytes) {
+    if (!first && lineStart + line.size() - sectionStart > aMaxHeaderBytes) {
       return Refusal{ 431, "header section is too long" };
     }
     if (!first && !line.empty() && (line.front() == ' ' || line.front() == '\t')) {
--- a/packages/httpd/src/request_reader.cpp
+++ b/packages/httpd/src/request_reader.cpp
@@ -57,7 +57,7 @@
     return Status::Incomplete;
   }
   size_t end = 0;
-  if (const auto refusal = ScanHead(input_, scanned_, end)) {
+  if (const auto refusal = ScanHead(input_, scanned_, end, maxHeaderBytes_)) {
     return Refuse(*refusal);
   }
   if (end == 0) {
--- a/packages/httpd/src/restinio_server.cpp
+++ b/packages/httpd/src/restinio_server.cpp
@@ -231,6 +231,11 @@
 
   void CloseAfterResponses() override { shared_->stopping = true; }
 
+  void SetLimits(const HttpLimits&) override
+  {
+    Log(LogLevel::Warning, "limits_ignored", { { "reason", "fixed for the life of the server" } });
+  }
+
 private:
   restinio::server_settings_t<Traits> MakeSettings(const HttpServerInit& aInit)
   {
--- a/packages/httpd/tests/asio_server_test.cpp
+++ b/packages/httpd/tests/asio_server_test.cpp
@@ -75,6 +75,10 @@
     { "CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n", "400" },
     { "GET /" + std::string(6000, 'a'), "414" },
     { "GET / HTTP/1.1\r\nX: " + std::string(9000, 'a'), "431" },
+    { "GET /a/../b HTTP/1.1\r\nHost: x\r\n\r\n", "400" },
+    { "GET /a/%2E%2e/b HTTP/1.1\r\nHost: x\r\n\r\n", "400" },
+    { "GET /a/.%2e HTTP/1.1\r\nHost: x\r\n\r\n", "400" },
+    { "GET /./a?x=1 HTTP/1.1\r\nHost: x\r\n\r\n", "400" },
   };
   for (const auto& entry : cases) {
     const std::string& request = entry.first;
@@ -103,6 +107,43 @@
   CHECK(connection->ReadMessage().starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE("dots that are no path segment are passed on")
+{
+  // Guards against refusing proper requests together with those that change their route.
+  ServerFixture server(Echo, {});
+  const auto connection = RawConnection::Connect(server.port);
+  for (const char* target : { "/a..b/", "/.well-known/x", "/a/...", "/a?next=../b", "/%2ea" }) {
+    CAPTURE(target);
+    connection->Write("GET " + std::string(target) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(connection->ReadMessage().starts_with("HTTP/1.1 200"));
+  }
+}
+
+TEST_CASE("limits that change while a server runs hold for requests that begin later")
+{
+  // Guards against limits of the operators that only a restart would put in force.
+  ServerFixture server(Echo, { .maxBodyBytes = 1000 });
+  const auto connection = RawConnection::Connect(server.port);
+  const std::string post = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n";
+  connection->Write(post + std::string(200, 'a'));
+  CHECK(Eventually([&] { return server.Stats().connections == 1; }));
+  server.SetLimits({ .maxHeaderBytes = 200,
+                     .maxBodyBytes = 400,
+                     .idleTimeout = Milliseconds(50),
+                     .headTimeout = Milliseconds(50) });
+  connection->Write(std::string(300, 'a'));
+  CHECK(connection->ReadMessage().starts_with("HTTP/1.1 200"));
+  const auto statusOf = [&](const std::string& aRequest) {
+    const auto next = RawConnection::Connect(server.port);
+    next->Write(aRequest);
+    return next->ReadToEnd().substr(9, 3);
+  };
+  CHECK(statusOf(post) == "413");
+  CHECK(statusOf("GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(200, 'a') + "\r\n\r\n") == "431");
+  CHECK(statusOf("GET / HTTP") == "408");
+  CHECK(connection->ReadToEnd().empty());
+}
+
 TEST_CASE("an expectation is answered before the body is sent")
 {
   // Guards against uploads held back for 1 s by the caller's HTTP library.
--- a/packages/httpd/tests/server_fixture.h
+++ b/packages/httpd/tests/server_fixture.h
@@ -37,6 +37,11 @@
     return stats;
   }
 
+  void SetLimits(const HttpLimits& aLimits)
+  {
+    loop.Call([&] { server->SetLimits(aLimits); });
+  }
+
   /// Sends bytes on a new connection and returns the first response.
   std::string Ask(const std::string& aBytes) const
   {
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -223,6 +223,7 @@
     TimePoint startedAt;
     TimePoint expiresAt;
     bool isTrial = false;
+    bool isLastTry = false; ///< The caller gets a failure of the upstream.
   };
   /// Order of the queue.
   struct Place
@@ -242,7 +243,7 @@
   Choice Choose(const SlotRequest& aRequest, TimePoint aNow, bool aOnlyFree);
   double Cost(const Upstream& aUpstream, const SlotRequest& aRequest, TimePoint aNow);
   bool IsSharedProblem() const;
-  bool IsNeglected(const Upstream& aUpstream, TimePoint aNow) const;
+  bool IsNeglected(const Upstream& aUpstream, bool aIdempotent, TimePoint aNow) const;
   void Start(const SlotRequest& aRequest, const Choice& aChoice, TimePoint aNow);
   void GrantWaiting(TimePoint aNow);
   bool GrantFirst(uint32_t aMinPriority, TimePoint aNow);
@@ -255,9 +256,9 @@
   void CountOutcome(Upstream& aUpstream,
                     Outcome aOutcome,
                     Duration aLatency,
-                    TimePoint aStartedAt,
-                    bool aTrial,
+                    const Lease& aLease,
                     TimePoint aNow);
+  void CountServed(bool aIsServed);
   Duration ExpectedWait(size_t aAhead) const;
   uint32_t Capacity() const;
   TimePoint LatestStart(const SlotRequest& aRequest) const;
@@ -276,7 +277,7 @@
   TimePoint lastLateGrant_{};
   uint32_t urgentGrants_ = 0; ///< In a row while less urgent requests waited.
   uint32_t suspects_ = 0;
-  double failedShare_ = 0; ///< Moving average over all upstreams.
+  double unservedShare_ = 0; ///< Of recent requests; moving average over all upstreams.
   uint64_t granted_ = 0;
   uint64_t refused_ = 0;
   uint64_t random_;
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -33,12 +33,15 @@
 /// With a shared problem only upstreams with this many failures in a row stay suspects.
 constexpr uint32_t kSharedProblemFailures = 3;
 
-/// When more than this share of the work fails, every upstream that may be sound gets some:
-/// otherwise the work piles up on a few while sound ones are left out.
-constexpr double kManyFailures = 0.06;
-constexpr double kFailedShareWeight = 0.02;
-/// Then an upstream without work for this time is served first.
-constexpr Duration kNeglectTime = Milliseconds(1100);
+/// When more than this share of the requests is not served, every upstream that may be sound gets
+/// work: otherwise it piles up on a few while sound ones are left out. Half of the share from which
+/// sound upstreams must not be left out, because each allocator sees a part of the requests.
+constexpr double kManyUnserved = 0.05;
+constexpr double kUnservedWeight = 0.02;
+/// Then an upstream without work for this time is served first. Requests that can be repeated go
+/// there earlier, because a sound upstream cannot be told from one that has begun to fail.
+constexpr Duration kNeglectTime = Milliseconds(1500);
+constexpr Duration kNeglectTimeOfTrials = Milliseconds(900);
 /// A suspect without a failure for this time may be sound again.
 constexpr Duration kSuspectRest = std::chrono::seconds(2);
 
@@ -58,6 +61,12 @@
 constexpr double kTakenCostOfTrials = 1.0;
 constexpr double kMaxAgeSeconds = 3;
 
+/// Whether a failure of the upstream is what the caller gets.
+bool IsLastTry(const SlotRequest& aRequest)
+{
+  return !aRequest.idempotent || aRequest.isRepeat;
+}
+
 } // namespace
 
 SlotAllocator::SlotAllocator(SlotAllocatorInit aInit)
@@ -157,8 +166,10 @@
     return;
   }
   ++found->second.inFlight;
-  leases_.emplace(aRequest.lease,
-                  Lease{ std::string(aUpstream), aNow, aRequest.deadline + kLeaseSlack });
+  leases_.emplace(
+    aRequest.lease,
+    Lease{
+      std::string(aUpstream), aNow, aRequest.deadline + kLeaseSlack, false, IsLastTry(aRequest) });
 }
 
 void SlotAllocator::Start(const SlotRequest& aRequest, const Choice& aChoice, TimePoint aNow)
@@ -168,9 +179,12 @@
   upstream.lastStart = aNow;
   upstream.trials += aChoice.isTrial ? 1 : 0;
   ++granted_;
-  leases_.emplace(
-    aRequest.lease,
-    Lease{ upstream.slots.id, aNow, aRequest.deadline + kLeaseSlack, aChoice.isTrial });
+  leases_.emplace(aRequest.lease,
+                  Lease{ upstream.slots.id,
+                         aNow,
+                         aRequest.deadline + kLeaseSlack,
+                         aChoice.isTrial,
+                         IsLastTry(aRequest) });
   init_.onGrant({ aRequest.lease, upstream.slots.id });
 }
 
@@ -179,10 +193,10 @@
   return suspects_ > kMaxSuspectShare * static_cast<double>(upstreams_.size());
 }
 
-bool SlotAllocator::IsNeglected(const Upstream& aUpstream, TimePoint aNow) const
+bool SlotAllocator::IsNeglected(const Upstream& aUpstream, bool aIdempotent, TimePoint aNow) const
 {
-  return failedShare_ > kManyFailures && aUpstream.inFlight == 0 &&
-         aNow - aUpstream.lastStart > kNeglectTime &&
+  return unservedShare_ > kManyUnserved && aUpstream.inFlight == 0 &&
+         aNow - aUpstream.lastStart > (aIdempotent ? kNeglectTimeOfTrials : kNeglectTime) &&
          (!aUpstream.health.IsSuspect() || aUpstream.health.FailureAge(aNow) > kSuspectRest);
 }
 
@@ -231,7 +245,7 @@
     }
     const bool isSuspect =
       upstream.health.IsSuspect() && upstream.health.FailuresInRow() >= tolerated;
-    const bool isNeglected = IsNeglected(upstream, aNow);
+    const bool isNeglected = IsNeglected(upstream, aRequest.idempotent, aNow);
     const bool isTrial = isSuspect && isFirst && upstream.trials == 0 &&
                          (aRequest.idempotent || !leavesTrials) &&
                          upstream.health.IsTrialDue(aRequest.idempotent, !waiting_.empty(), aNow);
@@ -253,21 +267,28 @@
   return best;
 }
 
+void SlotAllocator::CountServed(bool aIsServed)
+{
+  unservedShare_ += kUnservedWeight * ((aIsServed ? 0 : 1) - unservedShare_);
+}
+
 void SlotAllocator::CountOutcome(Upstream& aUpstream,
                                  Outcome aOutcome,
                                  Duration aLatency,
-                                 TimePoint aStartedAt,
-                                 bool aTrial,
+                                 const Lease& aLease,
                                  TimePoint aNow)
 {
+  // A failure of a request that is sent once more is no answer to its caller yet.
+  const bool isRepeated =
+    !aLease.isLastTry && (aOutcome == Outcome::Failed || aOutcome == Outcome::TimedOut);
+  if (aOutcome != Outcome::Cancelled && !isRepeated) {
+    CountServed(aOutcome == Outcome::Good);
+  }
   const bool wasSuspect = aUpstream.health.IsSuspect();
-  aUpstream.health.Observe(aOutcome, aStartedAt, aNow, aTrial);
+  aUpstream.health.Observe(aOutcome, aLease.startedAt, aNow, aLease.isTrial);
   if (wasSuspect != aUpstream.health.IsSuspect()) {
     suspects_ += wasSuspect ? -1 : 1;
   }
-  if (aOutcome != Outcome::Cancelled) {
-    failedShare_ += kFailedShareWeight * ((aOutcome == Outcome::Good ? 0 : 1) - failedShare_);
-  }
   if (aOutcome != Outcome::Good || aLatency <= Duration(0)) {
     return;
   }
@@ -295,7 +316,7 @@
   if (upstream != upstreams_.end()) {
     upstream->second.inFlight -= upstream->second.inFlight > 0 ? 1 : 0;
     upstream->second.trials -= lease.isTrial && upstream->second.trials > 0 ? 1 : 0;
-    CountOutcome(upstream->second, aOutcome, aLatency, lease.startedAt, lease.isTrial, aNow);
+    CountOutcome(upstream->second, aOutcome, aLatency, lease, aNow);
   }
   GrantWaiting(aNow);
 }
@@ -454,6 +475,7 @@
 void SlotAllocator::Refuse(LeaseId aLease, std::string_view aReason, Duration aRetryAfter)
 {
   ++refused_;
+  CountServed(false);
   init_.onRefusal({ aLease, aReason, aRetryAfter });
 }
 
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -46,6 +46,33 @@
     }
     CHECK(used.size() == 3);
   }
+  SUBCASE("are not spread for failures that callers do not see")
+  {
+    // Guards against work that cannot be repeated at upstreams whose health is not known, only
+    // because trials at failing upstreams fail.
+    std::vector<UpstreamSlots> upstreams;
+    for (int i = 0; i < 40; ++i) {
+      upstreams.push_back({ (i % 2 == 0 ? "sound" : "failing") + std::to_string(i), "a", 3 });
+    }
+    fixture.allocator.SetUpstreams(upstreams, fixture.now);
+    std::map<std::string, TimePoint> lastGood;
+    int unproven = 0;
+    const auto run = [&](bool aIdempotent) {
+      const std::string upstream = fixture.Ask(aIdempotent);
+      const bool isGood = upstream.starts_with("sound");
+      unproven += !aIdempotent && fixture.now - lastGood[upstream] > std::chrono::seconds(1);
+      fixture.now += Milliseconds(25);
+      fixture.End(fixture.sequence, isGood ? Outcome::Good : Outcome::Failed);
+      if (isGood) {
+        lastGood[upstream] = fixture.now;
+      }
+    };
+    for (int i = 0; i < 200; ++i) {
+      run(true);
+      run(false);
+    }
+    CHECK(unproven <= 2);
+  }
   SUBCASE("are never taken twice")
   {
     // Guards against work that queues at an upstream while another one is idle.
--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -6,11 +6,11 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "boragegauge/boot_timer.h"
 #include "upstream_p.h"
 
 namespace bg {
@@ -104,7 +104,7 @@
 
   UpstreamClientInit init_;
   asio::io_context& context_;
-  asio::steady_timer timer_;
+  BootTimer timer_;
   CURLM* multi_;
   bool stopped_ = false;
   bool reading_ = false;
