Take changes of an entry in their order; fewer store calls at a start; weigh other domains more

(2) Each sign of life of each upstream was told to all hosts, because the sequence was compared. (4) Each host that starts wrote its row and, while the store was away, asked with three calls at a time.

Ruled out: late delivery between hosts (the change reached all hosts within 10 ms), reports performed late.

Change: changes are merged in their order; the stand-ins list every change as the store does; the share is taken over a second; a restart reads the members and writes only when its own row differs; while the store fails one call at a time asks for it; a slot in another failure domain costs twice as much.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -97,10 +97,8 @@
     tick_ = loop_.RunEvery(kTickInterval, [this] { Tick(); });
     startedAt_ = Now();
     ReadStore(startedAt_);
-    Register();
     loop_.Run();
     tick_.reset();
-    registerTimer_.reset();
   });
 }
 
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -59,6 +59,7 @@
   void NoticeStall(TimePoint aNow);
   void Register();
   void ReadMembers();
+  void OnMembersFailure(const Error& aError);
   void ReadUpstreams();
   void ReadConfiguration();
   void WatchConfiguration();
@@ -110,7 +111,6 @@
   ReadSchedule schedule_;
   std::unique_ptr<SlotClient> slots_;
   std::unique_ptr<EventLoop::Timer> tick_;
-  std::unique_ptr<EventLoop::Timer> registerTimer_;
   std::function<std::string()> metrics_;
   std::thread thread_;
   std::minstd_rand random_;
@@ -123,7 +123,6 @@
   TimePoint configurationFresh_{};   ///< Last time that the row was known to be the newest.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
-  bool isReadingMembers_ = false;
   bool isReadingConfiguration_ = false;
   bool isRegistered_ = false;
   bool isStoreUp_ = true;
@@ -132,7 +131,7 @@
   TimePoint lastReadFailure_{}; ///< Meaningful while readFailures_ is not 0.
   TimePoint nextHeartbeat_{};
   std::vector<std::string> greetings_; ///< New peers that have not been greeted.
-  TimePoint nextMembersRead_{};
+  TimePoint nextMembersRead_{}; ///< Or the next attempt to register; the latest while one runs.
   TimePoint nextAsk_{};
   TimePoint startedAt_{};
   TimePoint lastTick_{};
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -10,8 +10,9 @@
 constexpr Duration kStoreDeadline = Milliseconds(1500);
 /// A configuration of 1,000 routes has 300 KB, which a host with a narrow link needs over 2 s for.
 constexpr Duration kDocumentDeadline = std::chrono::seconds(4);
-/// Pause between attempts to register this host, plus a random part against synchronised retries.
-constexpr Duration kRegisterPause = Milliseconds(300);
+/// Pause between attempts to register this host or to read the members, plus a random part against
+/// synchronised retries. Hosts that are up are found through the seeds meanwhile.
+constexpr Duration kRegisterPause = Milliseconds(1500);
 /// How long the store holds back the answer to a watch. The watching host may be turned away or its
 /// open connection may go silent, and a change is to be in force within 2 s all the same.
 constexpr Duration kWatchWait = Milliseconds(700);
@@ -35,13 +36,21 @@
   return row;
 }
 
+/// Whether two runs of a host are reached and ranked in the same way.
+bool IsSamePlace(const Member& aLeft, const Member& aRight)
+{
+  return aLeft.host == aRight.host && aLeft.address == aRight.address &&
+         aLeft.port == aRight.port && aLeft.failureDomain == aRight.failureDomain &&
+         aLeft.capacity == aRight.capacity;
+}
+
 } // namespace
 
 /// Reads what is due, when no other host has told it.
 void FleetControl::ReadStore(TimePoint aNow)
 {
-  if (isRegistered_ && aNow >= nextMembersRead_) {
-    ReadMembers();
+  if (aNow >= nextMembersRead_) {
+    init_.isFirstStart && !isRegistered_ ? Register() : ReadMembers();
   }
   if (!registry_.IsKnown() || revision_ == 0) {
     return ReadAtStart(aNow);
@@ -77,7 +86,8 @@
   if (revision_ == 0) {
     ReadConfiguration();
   }
-  if (!registry_.IsKnown()) {
+  // While the store fails, one call at a time finds out when it is back.
+  if (!registry_.IsKnown() && (readFailures_ == 0 || revision_ != 0)) {
     ReadUpstreams();
   }
 }
@@ -100,45 +110,48 @@
         { "revision", revision_ } });
 }
 
+/// Writes this host's row and then reads those of the others.
 void FleetControl::Register()
 {
+  nextMembersRead_ = TimePoint::max();
   const Member& self = members_->Self();
   platform_.store->Put(kMembersTable,
                        self.host,
                        MemberRow(self),
                        kStoreDeadline,
                        [this](const Result<uint64_t>& aResult) {
-                         if (aResult) {
-                           isRegistered_ = true;
-                           nextMembersRead_ = Now();
-                           return ReadMembers();
-                         }
-                         NoteStoreResult(false, &aResult.Failure());
-                         // Hosts that are up already know the others.
-                         for (const std::string& seed : init_.seeds) {
-                           if (seed != init_.address) {
-                             transport_->SetPeer("seed " + seed, seed, init_.peerPort);
-                             SendHello("seed " + seed, true);
-                           }
+                         if (!aResult) {
+                           return OnMembersFailure(aResult.Failure());
                          }
-                         registerTimer_ = loop_.RunAfter(kRegisterPause + Jitter(kRegisterPause),
-                                                         [this] { Register(); });
+                         isRegistered_ = true;
+                         ReadMembers();
                        });
 }
 
-void FleetControl::ReadMembers()
+/// Hosts that are up already know the others.
+void FleetControl::OnMembersFailure(const Error& aError)
 {
-  if (isReadingMembers_) {
+  NoteStoreResult(false, &aError);
+  nextMembersRead_ = Now() + kRegisterPause + Jitter(kRegisterPause);
+  if (isRegistered_) {
     return;
   }
-  isReadingMembers_ = true;
-  nextMembersRead_ = Now() + kMembersInterval + Jitter(kMembersInterval);
+  for (const std::string& seed : init_.seeds) {
+    if (seed != init_.address) {
+      transport_->SetPeer("seed " + seed, seed, init_.peerPort);
+      SendHello("seed " + seed, true);
+    }
+  }
+}
+
+void FleetControl::ReadMembers()
+{
+  nextMembersRead_ = TimePoint::max();
   platform_.store->Read(kMembersTable, kStoreDeadline, [this](const Result<StoreRows>& aRows) {
-    isReadingMembers_ = false;
     if (!aRows) {
-      nextMembersRead_ = Now() + kRegisterPause + Jitter(kRegisterPause);
-      return NoteStoreResult(false, &aRows.Failure());
+      return OnMembersFailure(aRows.Failure());
     }
+    nextMembersRead_ = Now() + kMembersInterval + Jitter(kMembersInterval);
     nextAsk_ = Now();
     for (const StoreRow& row : aRows->rows) {
       wire::Member member;
@@ -146,8 +159,13 @@
         Log(LogLevel::Warning, "member_unreadable", { { "key", row.key } });
         continue;
       }
+      // The row of an earlier run of this host is as good as a new one.
+      isRegistered_ = isRegistered_ || IsSamePlace(FromWire(member), members_->Self());
       AddMember(FromWire(member));
     }
+    if (!isRegistered_) {
+      Register();
+    }
   });
 }
 
@@ -185,27 +203,23 @@
 
 void FleetControl::OnUpstreamRows(const StoreRows& aRows, bool aIsMerge)
 {
-  std::vector<RegisteredUpstream> upstreams;
-  std::vector<std::string> gone;
+  std::vector<EntryChange> entries;
   for (const StoreRow& row : aRows.rows) {
+    EntryChange& entry = entries.emplace_back(EntryChange{ row.key, std::nullopt });
     if (row.isDeleted) {
-      gone.push_back(row.key);
       continue;
     }
     auto upstream = platform_.parseUpstream(row.key, row.value);
     if (upstream) {
-      upstreams.push_back(std::move(*upstream));
-      continue;
-    }
-    gone.push_back(row.key);
-    if (registry_.Find(row.key) != nullptr || !registry_.IsKnown()) {
+      entry.upstream = std::move(*upstream);
+    } else if (registry_.Find(row.key) != nullptr || !registry_.IsKnown()) {
       Log(LogLevel::Warning,
           "upstream_unreadable",
           { { "upstream", row.key }, { "detail", upstream.Failure().detail } });
     }
   }
-  const RegistryChange change = aIsMerge ? registry_.Merge(upstreams, gone, aRows.version, Now())
-                                         : registry_.Replace(upstreams, aRows.version, Now());
+  const RegistryChange change = aIsMerge ? registry_.Merge(entries, aRows.version, Now())
+                                         : registry_.Replace(entries, aRows.version, Now());
   OnRegistryChange(change, "store");
   ShareView(change, false);
 }
@@ -298,12 +312,15 @@
     return;
   }
   configurationFresh_ = Now();
-  bool isNew = false;
+  const StoreRow* newest = nullptr;
   for (const StoreRow& row : aRows->rows) {
-    if (row.key == platform_.configurationKey && !row.isDeleted) {
-      isNew = AdoptConfiguration(row.version, row.value, "store") || isNew;
+    const bool isCurrent = row.key == platform_.configurationKey && !row.isDeleted;
+    if (isCurrent && (newest == nullptr || row.version > newest->version)) {
+      newest = &row;
     }
   }
+  const bool isNew =
+    newest != nullptr && AdoptConfiguration(newest->version, newest->value, "store");
   ShareView({}, isNew);
 }
 
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-/// Whether two entries differ in more than the time that is left of the warm-up.
+/// Whether two reports say the same but for their number and the time that is left of the warm-up.
 bool IsSame(const RegisteredUpstream& aLeft, const RegisteredUpstream& aRight)
 {
   RegisteredUpstream right = aRight;
   right.warmupLeft = aLeft.warmupLeft;
+  right.sequence = aLeft.sequence;
   return aLeft == right;
 }
 
@@ -98,7 +99,7 @@
   }
 }
 
-RegistryChange Registry::Replace(std::span<const RegisteredUpstream> aUpstreams,
+RegistryChange Registry::Replace(std::span<const EntryChange> aEntries,
                                  uint64_t aVersion,
                                  TimePoint aNow)
 {
@@ -110,9 +111,11 @@
   for (const auto& [id, upstream] : upstreams_) {
     missing_.insert(id);
   }
-  for (const RegisteredUpstream& upstream : aUpstreams) {
-    missing_.erase(upstream.id);
-    Set(upstream, aNow, change);
+  for (const EntryChange& entry : aEntries) {
+    if (entry.upstream) {
+      missing_.erase(entry.id);
+      Set(*entry.upstream, aNow, change);
+    }
   }
   RemoveMissing(aNow, change);
   return change;
@@ -124,8 +127,7 @@
          aNow - lastRead_ < init_.mergeLimit;
 }
 
-RegistryChange Registry::Merge(std::span<const RegisteredUpstream> aChanged,
-                               std::span<const std::string> aGone,
+RegistryChange Registry::Merge(std::span<const EntryChange> aChanges,
                                uint64_t aVersion,
                                TimePoint aNow)
 {
@@ -133,9 +135,12 @@
   if (!NoteRead(aVersion, aNow)) {
     return change;
   }
-  missing_.insert(aGone.begin(), aGone.end());
-  for (const RegisteredUpstream& upstream : aChanged) {
-    Set(upstream, aNow, change);
+  for (const EntryChange& entry : aChanges) {
+    if (entry.upstream) {
+      Set(*entry.upstream, aNow, change);
+    } else {
+      missing_.insert(entry.id);
+    }
   }
   RemoveMissing(aNow, change);
   return change;
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -19,6 +20,13 @@
   bool Empty() const { return changed.empty() && removed.empty(); }
 };
 
+/// A change of one entry of the store.
+struct EntryChange
+{
+  std::string id;
+  std::optional<RegisteredUpstream> upstream; ///< None: deleted, or names no upstream any more.
+};
+
 struct RegistryInit
 {
   /// After an outage of the store, entries that lapsed meanwhile have this long to return.
@@ -45,19 +53,14 @@
   explicit Registry(RegistryInit aInit = {});
 
   /// Takes all entries of the store, read by this host.
-  RegistryChange Replace(std::span<const RegisteredUpstream> aUpstreams,
-                         uint64_t aVersion,
-                         TimePoint aNow);
+  RegistryChange Replace(std::span<const EntryChange> aEntries, uint64_t aVersion, TimePoint aNow);
 
   /// Whether changes since Version() are enough, or all entries have to be read.
   bool CanMerge(TimePoint aNow) const;
   void RequireFullRead() { lastFull_ = TimePoint{}; }
-  /// Takes the entries that have changed in the store since Version(), read by this host.
-  /// @param aGone Upstreams whose entry is deleted or names none any more.
-  RegistryChange Merge(std::span<const RegisteredUpstream> aChanged,
-                       std::span<const std::string> aGone,
-                       uint64_t aVersion,
-                       TimePoint aNow);
+  /// Takes the changes in the store since Version(), in their order, read by this host. An entry
+  /// may change more than once.
+  RegistryChange Merge(std::span<const EntryChange> aChanges, uint64_t aVersion, TimePoint aNow);
 
   /// Takes a peer's changes, or its whole state.
   /// @param aFreshAt When the peer's state was the newest one.
--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -29,7 +29,11 @@
 class ControlHost
 {
 public:
-  ControlHost(FakeTables& aTables, const std::string& aName, int aNumber, uint16_t aPeerPort)
+  ControlHost(FakeTables& aTables,
+              const std::string& aName,
+              int aNumber,
+              uint16_t aPeerPort,
+              bool aIsRefused = false)
   {
     init_.host = aName;
     init_.failureDomain = "a";
@@ -40,6 +44,7 @@
       loop = &aLoop;
       return MakeAdapter(aLoop, aTables);
     };
+    faults.refuses = aIsRefused;
     shared.onResumed = [this] { wasStale = !shared.isCurrent; };
     control_ = std::make_unique<FleetControl>(init_, shared);
     const auto error = control_->Bind();
@@ -64,10 +69,11 @@
       query.receivedAt = Now();
       query.deadline = Now() + std::chrono::seconds(2);
       const uint64_t sequence = ++sequence_;
-      control_->Acquire(sequence, query, [this, &promise, sequence, &aUpstream](SlotResult aSlot) {
-        control_->Release(sequence, placement::Outcome::Cancelled, Duration(0));
-        promise.set_value(aSlot.isGranted && aSlot.upstream.id == aUpstream);
-      });
+      control_->Acquire(
+        sequence, query, [this, &promise, sequence, &aUpstream](const SlotResult& aSlot) {
+          control_->Release(sequence, placement::Outcome::Cancelled, Duration(0));
+          promise.set_value(aSlot.isGranted && aSlot.upstream.id == aUpstream);
+        });
     });
     return promise.get_future().get();
   }
@@ -170,6 +176,44 @@
   }
 }
 
+TEST_CASE("a host that starts again")
+{
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+  const auto isServing = [](ControlHost& aHost) {
+    return Eventually([&] { return aHost.Revision() == 1 && aHost.Places("one"); });
+  };
+  {
+    ControlHost earlier(tables, "again", 2, port);
+    REQUIRE(isServing(earlier));
+    CHECK(Eventually([&] { return earlier.faults.writes == 1; }));
+  }
+  SUBCASE("leaves its row in the store as it is")
+  {
+    // Guards against a write of each host after a failure of all.
+    ControlHost host(tables, "again", 2, port);
+    CHECK(isServing(host));
+    CHECK(Eventually([&] { return host.faults.reads >= 3; }));
+    CHECK(host.faults.writes == 0);
+  }
+  SUBCASE("writes its row when its address is another")
+  {
+    ControlHost host(tables, "again", 3, port);
+    CHECK(Eventually([&] { return host.faults.writes == 1; }));
+  }
+  SUBCASE("while the store is away, asks with one call at a time")
+  {
+    // Guards against a storm of calls of all hosts, each of which is charged and may be refused.
+    ControlHost host(tables, "again", 2, port, true);
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    CHECK(host.faults.reads + host.faults.writes + host.faults.watches <= 9);
+    host.faults.refuses = false;
+    CHECK(isServing(host));
+  }
+}
+
 TEST_CASE("a host that stood still serves nothing from what it knew before")
 {
   // Guards against requests that are routed by a configuration that was replaced meanwhile.
--- a/packages/fleet/tests/fake_row_store.h
+++ b/packages/fleet/tests/fake_row_store.h
@@ -17,13 +17,13 @@
   void Put(const std::string& aTable, const std::string& aKey, std::string aValue)
   {
     const std::lock_guard lock(mutex_);
-    tables_[aTable][aKey] = { aKey, std::move(aValue), ++version_, false };
+    Write(aTable, { aKey, std::move(aValue), ++version_, false });
   }
 
   void Remove(const std::string& aTable, const std::string& aKey)
   {
     const std::lock_guard lock(mutex_);
-    tables_[aTable][aKey] = { aKey, "", ++version_, true };
+    Write(aTable, { aKey, "", ++version_, true });
   }
 
   /// Changes up to now are no longer told.
@@ -52,7 +52,7 @@
       return Error{ Errc::NotFound, "fake.watch", "", "history is gone" };
     }
     StoreRows rows{ {}, version_ };
-    for (const auto& [key, row] : tables_[aTable]) {
+    for (const StoreRow& row : changes_[aTable]) {
       if (row.version > aVersion) {
         rows.rows.push_back(row);
       }
@@ -61,8 +61,15 @@
   }
 
 private:
+  void Write(const std::string& aTable, const StoreRow& aRow)
+  {
+    tables_[aTable][aRow.key] = aRow;
+    changes_[aTable].push_back(aRow);
+  }
+
   std::mutex mutex_;
   std::map<std::string, std::map<std::string, StoreRow>> tables_;
+  std::map<std::string, std::vector<StoreRow>> changes_; ///< In their order.
   uint64_t version_ = 0;
   uint64_t forgotten_ = 0;
 };
@@ -74,6 +81,7 @@
   std::atomic<int> readDelayMs = 0; ///< Of whole tables; over the deadline there is no answer.
   std::atomic<int> reads = 0;       ///< Whole tables that were asked for.
   std::atomic<int> watches = 0;
+  std::atomic<int> writes = 0;
 };
 
 class FakeRowStore : public RowStore
@@ -122,6 +130,7 @@
            Duration /*aDeadline*/,
            Callback<uint64_t> aCallback) override
   {
+    ++faults_.writes;
     if (faults_.refuses) {
       return Refuse(std::move(aCallback));
     }
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -19,6 +19,20 @@
   return upstream;
 }
 
+std::vector<EntryChange> Entries(std::span<const RegisteredUpstream> aUpstreams)
+{
+  std::vector<EntryChange> entries;
+  for (const RegisteredUpstream& upstream : aUpstreams) {
+    entries.push_back({ upstream.id, upstream });
+  }
+  return entries;
+}
+
+std::vector<EntryChange> Deleted(const std::string& aId)
+{
+  return { { aId, std::nullopt } };
+}
+
 const TimePoint kStart{ std::chrono::hours(1) };
 
 } // namespace
@@ -27,27 +41,27 @@
 {
   Registry registry;
   const std::vector<RegisteredUpstream> both = { MakeUpstream("one"), MakeUpstream("two") };
-  CHECK(registry.Replace(both, 10, kStart).changed.size() == 2);
+  CHECK(registry.Replace(Entries(both), 10, kStart).changed.size() == 2);
   SUBCASE("reports only what differs")
   {
     std::vector<RegisteredUpstream> next = { MakeUpstream("one"), MakeUpstream("two", true) };
     next.front().warmupLeft = Milliseconds(200);
-    const RegistryChange change = registry.Replace(next, 11, kStart + Milliseconds(500));
+    const RegistryChange change = registry.Replace(Entries(next), 11, kStart + Milliseconds(500));
     REQUIRE(change.changed.size() == 1);
     CHECK(change.changed.front().isDraining);
   }
   SUBCASE("drops an entry that is gone")
   {
     const RegistryChange change =
-      registry.Replace({ both.data(), 1 }, 11, kStart + Milliseconds(500));
+      registry.Replace(Entries({ both.data(), 1 }), 11, kStart + Milliseconds(500));
     CHECK(change.removed == std::vector<std::string>{ "two" });
     CHECK(registry.Find("two") == nullptr);
   }
   SUBCASE("is never replaced by an older read")
   {
     // Guards against an answer that was overtaken by a later one.
-    registry.Replace({ both.data(), 1 }, 12, kStart + Milliseconds(500));
-    registry.Replace(both, 11, kStart + Milliseconds(600));
+    registry.Replace(Entries({ both.data(), 1 }), 12, kStart + Milliseconds(500));
+    registry.Replace(Entries(both), 11, kStart + Milliseconds(600));
     CHECK(registry.Find("two") == nullptr);
   }
   SUBCASE("keeps entries that lapsed during an outage until they had time to return")
@@ -58,7 +72,7 @@
     SUBCASE("and drops those that are still missing then")
     {
       const RegistryChange change =
-        registry.Replace({ both.data(), 1 }, 21, back + Milliseconds(2500));
+        registry.Replace(Entries({ both.data(), 1 }), 21, back + Milliseconds(2500));
       CHECK(change.removed == std::vector<std::string>{ "two" });
     }
   }
@@ -68,7 +82,7 @@
     RegistryChange effect;
     REQUIRE(
       registry.Apply({}, false, 19, registry.Digest(), later - Milliseconds(400), later, effect));
-    const RegistryChange change = registry.Replace({ both.data(), 1 }, 20, later);
+    const RegistryChange change = registry.Replace(Entries({ both.data(), 1 }), 20, later);
     CHECK(change.removed.size() == 1);
   }
 }
@@ -79,14 +93,14 @@
   const std::vector<RegisteredUpstream> both = { MakeUpstream("one"), MakeUpstream("two") };
   const std::vector<std::string> two = { "two" };
   CHECK_FALSE(registry.CanMerge(kStart));
-  registry.Replace(both, 10, kStart);
+  registry.Replace(Entries(both), 10, kStart);
   const TimePoint next = kStart + Milliseconds(500);
   REQUIRE(registry.CanMerge(next));
 
   SUBCASE("keeps what has not changed")
   {
     const std::vector<RegisteredUpstream> changed = { MakeUpstream("one", true) };
-    const RegistryChange change = registry.Merge(changed, {}, 11, next);
+    const RegistryChange change = registry.Merge(Entries(changed), 11, next);
     REQUIRE(change.changed.size() == 1);
     CHECK(registry.Find("one")->isDraining);
     CHECK(registry.Find("two") != nullptr);
@@ -94,28 +108,48 @@
   }
   SUBCASE("drops an entry that is deleted")
   {
-    CHECK(registry.Merge({}, two, 11, next).removed == two);
+    CHECK(registry.Merge(Deleted("two"), 11, next).removed == two);
     CHECK(registry.Find("two") == nullptr);
   }
   SUBCASE("keeps entries that lapsed during an outage until they had time to return")
   {
     const TimePoint back = kStart + std::chrono::seconds(6);
-    CHECK(registry.Merge({}, two, 20, back).Empty());
+    CHECK(registry.Merge(Deleted("two"), 20, back).Empty());
     SUBCASE("and for good when they do")
     {
       const std::vector<RegisteredUpstream> returned = { MakeUpstream("two") };
-      CHECK(registry.Merge(returned, {}, 21, back + Milliseconds(900)).Empty());
-      CHECK(registry.Merge({}, {}, 22, back + std::chrono::seconds(3)).Empty());
+      CHECK(registry.Merge(Entries(returned), 21, back + Milliseconds(900)).Empty());
+      CHECK(registry.Merge({}, 22, back + std::chrono::seconds(3)).Empty());
     }
     SUBCASE("and drops those that are still missing then")
     {
-      CHECK(registry.Merge({}, {}, 22, back + std::chrono::seconds(3)).removed == two);
+      CHECK(registry.Merge({}, 22, back + std::chrono::seconds(3)).removed == two);
+    }
+  }
+  SUBCASE("follows several changes of one entry in their order")
+  {
+    // Guards against work for an upstream whose entry was written and deleted between two reads.
+    std::vector<EntryChange> changes = Entries({ both.data() + 1, 1 });
+    changes.push_back({ "two", std::nullopt });
+    CHECK(registry.Merge(changes, 12, next).removed == two);
+    CHECK(registry.Find("two") == nullptr);
+    std::swap(changes.front(), changes.back());
+    CHECK(registry.Merge(changes, 14, next).changed.size() == 1);
+    CHECK(registry.Find("two") != nullptr);
+  }
+  SUBCASE("does not report entries that were only written again")
+  {
+    // Guards against messages to all hosts for each sign of life of each upstream.
+    std::vector<RegisteredUpstream> again = both;
+    for (RegisteredUpstream& upstream : again) {
+      ++upstream.sequence;
     }
+    CHECK(registry.Merge(Entries(again), 11, next).Empty());
   }
   SUBCASE("is read as a whole now and then, and after a pause")
   {
     CHECK_FALSE(registry.CanMerge(kStart + std::chrono::seconds(5)));
-    registry.Merge({}, {}, 11, kStart + std::chrono::seconds(19));
+    registry.Merge({}, 11, kStart + std::chrono::seconds(19));
     CHECK_FALSE(registry.CanMerge(kStart + std::chrono::seconds(21)));
   }
   SUBCASE("is read as a whole after a peer has told its whole state")
@@ -140,36 +174,36 @@
     return std::vector<RegisteredUpstream>{ upstream };
   };
   Registry registry;
-  registry.Replace(report(4, false), 10, kStart);
-  registry.Merge(report(5, true), {}, 11, kStart + Milliseconds(500));
+  registry.Replace(Entries(report(4, false)), 10, kStart);
+  registry.Merge(Entries(report(5, true)), 11, kStart + Milliseconds(500));
   const TimePoint later = kStart + Milliseconds(1000);
   SUBCASE("do not replace newer ones")
   {
-    CHECK(registry.Merge(report(4, false), {}, 12, later).Empty());
+    CHECK(registry.Merge(Entries(report(4, false)), 12, later).Empty());
     CHECK(registry.Find("one")->isDraining);
   }
   SUBCASE("do not bring back an upstream that is gone")
   {
-    const std::vector<std::string> one = { "one" };
-    CHECK(registry.Merge({}, one, 12, later).removed == one);
-    CHECK(registry.Merge(report(4, false), {}, 13, later + Milliseconds(500)).Empty());
+    CHECK(registry.Merge(Deleted("one"), 12, later).removed == std::vector<std::string>{ "one" });
+    CHECK(registry.Merge(Entries(report(4, false)), 13, later + Milliseconds(500)).Empty());
     CHECK(registry.Find("one") == nullptr);
     SUBCASE("while a newer report does")
     {
-      CHECK(registry.Merge(report(6, false), {}, 14, later + Milliseconds(900)).changed.size() ==
-            1);
+      CHECK(
+        registry.Merge(Entries(report(6, false)), 14, later + Milliseconds(900)).changed.size() ==
+        1);
     }
   }
   SUBCASE("are told from those of a new run under the same id")
   {
-    CHECK(registry.Merge(report(1, false, 1800), {}, 12, later).changed.size() == 1);
+    CHECK(registry.Merge(Entries(report(1, false, 1800)), 12, later).changed.size() == 1);
     CHECK_FALSE(registry.Find("one")->isDraining);
   }
   SUBCASE("count as they come when runs cannot be told apart")
   {
     Registry plain;
-    plain.Replace(report(9, true, 0), 10, kStart);
-    CHECK(plain.Replace(report(1, false, 0), 11, later).changed.size() == 1);
+    plain.Replace(Entries(report(9, true, 0)), 10, kStart);
+    CHECK(plain.Replace(Entries(report(1, false, 0)), 11, later).changed.size() == 1);
   }
 }
 
@@ -178,13 +212,13 @@
   Registry store;
   Registry peer;
   const std::vector<RegisteredUpstream> first = { MakeUpstream("one"), MakeUpstream("two") };
-  RegistryChange change = store.Replace(first, 10, kStart);
+  RegistryChange change = store.Replace(Entries(first), 10, kStart);
   RegistryChange effect;
   SUBCASE("follows changes")
   {
     CHECK(peer.Apply(change, true, 10, store.Digest(), kStart, kStart, effect));
     const std::vector<RegisteredUpstream> next = { MakeUpstream("one", true) };
-    change = store.Replace(next, 11, kStart + Milliseconds(500));
+    change = store.Replace(Entries(next), 11, kStart + Milliseconds(500));
     CHECK(peer.Apply(change, false, 11, store.Digest(), kStart, kStart, effect));
     CHECK(peer.Find("one")->isDraining);
     CHECK(peer.Find("two") == nullptr);
@@ -202,7 +236,7 @@
   {
     CHECK(peer.Apply(change, true, 10, store.Digest(), kStart, kStart, effect));
     const std::vector<RegisteredUpstream> next = { MakeUpstream("one") };
-    store.Replace(next, 11, kStart + Milliseconds(500));
+    store.Replace(Entries(next), 11, kStart + Milliseconds(500));
     CHECK_FALSE(peer.Apply({}, false, 12, store.Digest(), kStart, kStart, effect));
     CHECK(peer.Version() == 10);
   }
--- a/packages/fleet/tests/slot_client_test.cpp
+++ b/packages/fleet/tests/slot_client_test.cpp
@@ -99,7 +99,8 @@
     only.service = "desk";
     only.isDraining = true;
     SlotFleet::Host& host = fleet.hosts.at(one);
-    host.registry->Replace({ &only, 1 }, 9, fleet.now);
+    const EntryChange entry{ only.id, only };
+    host.registry->Replace({ &entry, 1 }, 9, fleet.now);
     host.slots->Update(fleet.now);
     const uint64_t request = fleet.Acquire(one);
     CHECK(fleet.Granted(one, request).empty());
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -47,8 +47,12 @@
   void SetUpstreams(const std::vector<RegisteredUpstream>& aUpstreams)
   {
     ++version_;
+    std::vector<EntryChange> entries;
+    for (const RegisteredUpstream& upstream : aUpstreams) {
+      entries.push_back({ upstream.id, upstream });
+    }
     for (auto& [name, host] : hosts) {
-      host.registry->Replace(aUpstreams, version_, now);
+      host.registry->Replace(entries, version_, now);
       host.slots->Update(now);
     }
   }
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -258,11 +258,12 @@
                     Duration aLatency,
                     const Lease& aLease,
                     TimePoint aNow);
-  void CountServed(bool aIsServed);
+  void CountServed(bool aIsServed, TimePoint aNow);
+  double UnservedShare() const;
   Duration ExpectedWait(size_t aAhead) const;
   uint32_t Capacity() const;
   TimePoint LatestStart(const SlotRequest& aRequest) const;
-  void Refuse(LeaseId aLease, std::string_view aReason, Duration aRetryAfter);
+  void Refuse(LeaseId aLease, std::string_view aReason, Duration aRetryAfter, TimePoint aNow);
   uint64_t Random();
 
   SlotAllocatorInit init_;
@@ -277,7 +278,9 @@
   TimePoint lastLateGrant_{};
   uint32_t urgentGrants_ = 0; ///< In a row while less urgent requests waited.
   uint32_t suspects_ = 0;
-  double unservedShare_ = 0; ///< Of recent requests; moving average over all upstreams.
+  double answered_ = 0; ///< Recent requests with a final answer, fading.
+  double unserved_ = 0; ///< Those among them that were not served.
+  TimePoint lastCounted_{};
   uint64_t granted_ = 0;
   uint64_t refused_ = 0;
   uint64_t random_;
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "boragegauge/placement.h"
 
@@ -37,7 +38,12 @@
 /// work: otherwise it piles up on a few while sound ones are left out. Half of the share from which
 /// sound upstreams must not be left out, because each allocator sees a part of the requests.
 constexpr double kManyUnserved = 0.05;
-constexpr double kUnservedWeight = 0.02;
+/// From this share on, work that cannot be repeated goes to neglected suspects as well.
+constexpr double kMostUnserved = 0.09;
+/// Time over which the share is taken; sound upstreams must not be left out for two seconds.
+constexpr std::chrono::duration<double> kUnservedWindow{ 1 };
+/// The share is taken of at least so many requests, so that a single failure is not many.
+constexpr double kMinAnswered = 20;
 /// Then an upstream without work for this time is served first. Requests that can be repeated go
 /// there earlier, because a sound upstream cannot be told from one that has begun to fail.
 constexpr Duration kNeglectTime = Milliseconds(1500);
@@ -49,7 +55,7 @@
 // its last success.
 /// Bytes between failure domains are charged: for a request with little body, and for each KiB of
 /// it.
-constexpr double kOtherDomainCost = 0.3;
+constexpr double kOtherDomainCost = 0.6;
 constexpr double kOtherDomainCostPerKb = 0.02;
 constexpr double kMaxOtherDomainCost = 1.5;
 constexpr double kColdCost = 1.0;
@@ -122,7 +128,7 @@
   if (!aRequest.isRepeat) {
     retries_.OnRequest(aNow);
   } else if (!retries_.TryTake(shards_, aNow, aRequest.idempotent ? kIdempotentRetryPart : 1)) {
-    Refuse(aRequest.lease, "retry_budget", serviceTime_);
+    Refuse(aRequest.lease, "retry_budget", serviceTime_, aNow);
     return true;
   }
   const Place place{
@@ -195,9 +201,13 @@
 
 bool SlotAllocator::IsNeglected(const Upstream& aUpstream, bool aIdempotent, TimePoint aNow) const
 {
-  return unservedShare_ > kManyUnserved && aUpstream.inFlight == 0 &&
-         aNow - aUpstream.lastStart > (aIdempotent ? kNeglectTimeOfTrials : kNeglectTime) &&
-         (!aUpstream.health.IsSuspect() || aUpstream.health.FailureAge(aNow) > kSuspectRest);
+  const double unserved = UnservedShare();
+  const Duration limit = aIdempotent ? kNeglectTimeOfTrials : kNeglectTime;
+  if (unserved <= kManyUnserved || aUpstream.inFlight > 0 || aNow - aUpstream.lastStart <= limit) {
+    return false;
+  }
+  return !aUpstream.health.IsSuspect() || (aUpstream.health.FailureAge(aNow) > kSuspectRest &&
+                                           (aIdempotent || unserved > kMostUnserved));
 }
 
 double SlotAllocator::Cost(const Upstream& aUpstream, const SlotRequest& aRequest, TimePoint aNow)
@@ -267,9 +277,18 @@
   return best;
 }
 
-void SlotAllocator::CountServed(bool aIsServed)
+void SlotAllocator::CountServed(bool aIsServed, TimePoint aNow)
+{
+  const double fade =
+    std::exp(-std::chrono::duration<double>(aNow - lastCounted_).count() / kUnservedWindow.count());
+  lastCounted_ = aNow;
+  answered_ = answered_ * fade + 1;
+  unserved_ = unserved_ * fade + (aIsServed ? 0 : 1);
+}
+
+double SlotAllocator::UnservedShare() const
 {
-  unservedShare_ += kUnservedWeight * ((aIsServed ? 0 : 1) - unservedShare_);
+  return unserved_ / std::max(answered_, kMinAnswered);
 }
 
 void SlotAllocator::CountOutcome(Upstream& aUpstream,
@@ -282,7 +301,7 @@
   const bool isRepeated =
     !aLease.isLastTry && (aOutcome == Outcome::Failed || aOutcome == Outcome::TimedOut);
   if (aOutcome != Outcome::Cancelled && !isRepeated) {
-    CountServed(aOutcome == Outcome::Good);
+    CountServed(aOutcome == Outcome::Good, aNow);
   }
   const bool wasSuspect = aUpstream.health.IsSuspect();
   aUpstream.health.Observe(aOutcome, aLease.startedAt, aNow, aLease.isTrial);
@@ -422,7 +441,7 @@
     const LeaseId lease = next->second.lease;
     places_.erase(lease);
     next = waiting_.erase(next);
-    Refuse(lease, Capacity() == 0 ? "no_upstream" : "overload", wait);
+    Refuse(lease, Capacity() == 0 ? "no_upstream" : "overload", wait, aNow);
   }
 }
 
@@ -472,10 +491,13 @@
   return aRequest.deadline - std::chrono::duration_cast<Duration>(serviceTime_ * kStartMargin);
 }
 
-void SlotAllocator::Refuse(LeaseId aLease, std::string_view aReason, Duration aRetryAfter)
+void SlotAllocator::Refuse(LeaseId aLease,
+                           std::string_view aReason,
+                           Duration aRetryAfter,
+                           TimePoint aNow)
 {
   ++refused_;
-  CountServed(false);
+  CountServed(false, aNow);
   init_.onRefusal({ aLease, aReason, aRetryAfter });
 }
 
