--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -243,6 +243,8 @@
   Choice Choose(const SlotRequest& aRequest, TimePoint aNow, bool aOnlyFree);
   double Cost(const Upstream& aUpstream, const SlotRequest& aRequest, TimePoint aNow);
   bool IsSharedProblem() const;
+  /// Whether idempotent requests are there to try suspects.
+  bool LeavesTrials(TimePoint aNow) const;
   bool IsNeglected(const Upstream& aUpstream, bool aIdempotent, TimePoint aNow) const;
   void Start(const SlotRequest& aRequest, const Choice& aChoice, TimePoint aNow);
   void GrantWaiting(TimePoint aNow);
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -199,15 +199,22 @@
   return suspects_ > kMaxSuspectShare * static_cast<double>(upstreams_.size());
 }
 
+bool SlotAllocator::LeavesTrials(TimePoint aNow) const
+{
+  return aNow - lastIdempotent_ < kIdempotentMemory;
+}
+
 bool SlotAllocator::IsNeglected(const Upstream& aUpstream, bool aIdempotent, TimePoint aNow) const
 {
   const double unserved = UnservedShare();
-  const Duration limit = aIdempotent ? kNeglectTimeOfTrials : kNeglectTime;
+  // Without idempotent requests all others have to find out which upstreams are sound.
+  const bool explores = aIdempotent || !LeavesTrials(aNow);
+  const Duration limit = explores ? kNeglectTimeOfTrials : kNeglectTime;
   if (unserved <= kManyUnserved || aUpstream.inFlight > 0 || aNow - aUpstream.lastStart <= limit) {
     return false;
   }
   return !aUpstream.health.IsSuspect() || (aUpstream.health.FailureAge(aNow) > kSuspectRest &&
-                                           (aIdempotent || unserved > kMostUnserved));
+                                           (explores || unserved > kMostUnserved));
 }
 
 double SlotAllocator::Cost(const Upstream& aUpstream, const SlotRequest& aRequest, TimePoint aNow)
@@ -240,7 +247,7 @@
     Suspect
   };
   const Duration waited = aNow - aRequest.receivedAt;
-  const bool leavesTrials = aNow - lastIdempotent_ < kIdempotentMemory;
+  const bool leavesTrials = LeavesTrials(aNow);
   const bool isFirst = aRequest.exclude.empty();
   const uint32_t tolerated = IsSharedProblem() ? kSharedProblemFailures : 0;
   Choice best;
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -46,6 +46,27 @@
     }
     CHECK(used.size() == 3);
   }
+  SUBCASE("are used again at upstreams that rested, when no request can be repeated")
+  {
+    // Guards against leaving out upstreams that failed once, in a service of uploads only.
+    fixture.SetUpstreams({ { "one", "a", 3 }, { "two", "a", 3 }, { "three", "a", 3 } });
+    fixture.Run(Outcome::Failed);
+    fixture.Run(Outcome::Failed);
+    std::map<std::string, TimePoint> lastUsed;
+    Duration longest{ 0 };
+    const TimePoint start = fixture.now + std::chrono::seconds(3);
+    for (int i = 0; i < 160; ++i) {
+      // Longer than the pause after a refusal, so that no other upstream has to stand in.
+      fixture.now += Milliseconds(50);
+      // Seven in a hundred are not served, none of them at the upstreams that rest.
+      const std::string upstream = fixture.Run(i % 14 == 0 ? Outcome::Refused : Outcome::Good);
+      TimePoint& last = lastUsed.try_emplace(upstream, start).first->second;
+      longest = std::max(longest, fixture.now - last);
+      last = fixture.now;
+    }
+    CHECK(lastUsed.size() == 3);
+    CHECK(longest < std::chrono::seconds(2));
+  }
   SUBCASE("are not spread for failures that callers do not see")
   {
     // Guards against work that cannot be repeated at upstreams whose health is not known, only
