--- a/packages/ctl/include/boragegauge/ctl.h
+++ b/packages/ctl/include/boragegauge/ctl.h
@@ -210,6 +210,39 @@
 /// holds no complete evidence of a verdict.
 Result<ReplayResult> ReplayRecord(const DecisionRecord& aRecord);
 
+/// One line that a host of a fleet has logged (docs/OPERATIONS.md).
+struct LogLine
+{
+  int64_t timeMs = 0; ///< Of the host's clock.
+  std::string host;   ///< Word before the line, or the name of its file.
+  std::string event;
+  std::vector<std::pair<std::string, std::string>> fields; ///< In the order of the line.
+};
+
+/// Empty when the text is no log line.
+std::optional<LogLine> ParseLogLine(std::string_view aText, const std::string& aSource);
+
+/// Lines of all files, ordered by time. @param aInput Read for the name "-".
+Result<std::vector<LogLine>> ReadLogs(std::span<const std::string> aFiles, std::istream& aInput);
+
+/// What to follow; the fields that are set are alternatives.
+struct TimelineQuery
+{
+  std::string requestId;
+  std::string upstream;
+  uint64_t revision = 0; ///< 0: none.
+};
+
+struct Timeline
+{
+  std::string summary; ///< How the request ended; empty when none was asked for.
+  std::vector<LogLine> lines;
+};
+
+/// Lines that mention what was asked for. For a request also those that say what its hosts knew
+/// and how its upstreams were judged at the time.
+Timeline MakeTimeline(std::span<const LogLine> aLines, const TimelineQuery& aQuery);
+
 /// Connection to one platform and its proxies.
 struct Session
 {
@@ -225,6 +258,7 @@
   std::function<Session(const std::string& aAddress, uint16_t aPort)> connect;
   std::ostream* out = nullptr;
   std::ostream* err = nullptr;
+  std::istream* in = nullptr;              ///< For logs from standard input.
   std::function<void(Milliseconds)> pause; ///< Sleeps.
 };
 
--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -27,6 +27,8 @@
   std::string since = "1h";
   std::string until;
   std::string replay;
+  std::vector<std::string> logs;
+  uint64_t revision = 0;
   ExplainQuery query;
 };
 
@@ -114,8 +116,27 @@
     return status.unreachable.empty() ? ExitCode::Ok : ExitCode::Unreachable;
   }
 
+  ExitCode ExplainLogs()
+  {
+    const TimelineQuery query{ options_.query.requestId,
+                               options_.query.upstream,
+                               options_.revision };
+    if (query.requestId.empty() && query.upstream.empty() && query.revision == 0) {
+      return Fail(ExitCode::Usage, "--logs needs --request, --upstream or --revision");
+    }
+    const auto lines = ReadLogs(options_.logs, *init_.in);
+    if (!lines) {
+      return Fail(ExitCode::Problems, ToString(lines.Failure()));
+    }
+    const auto timeline = MakeTimeline(*lines, query);
+    printer_.Show(timeline);
+    return timeline.lines.empty() ? ExitCode::Problems : ExitCode::Ok;
+  }
+
   ExitCode Explain()
   {
+    if (!options_.logs.empty())
+      return ExplainLogs();
     if (!Open())
       return ExitCode::Usage;
     auto query = options_.query;
@@ -323,13 +344,20 @@
                "Say what was decided, on which evidence and under which configuration",
                "  boragegauge explain --service order-desk --since 15m\n"
                "  boragegauge explain --upstream desk-07 --since 2026-01-31T08:00:00Z\n"
-               "  boragegauge explain --replay entry-3-1769846400000-17");
+               "  boragegauge explain --replay entry-3-1769846400000-17\n"
+               "  boragegauge explain --request 5b1e --logs host-1.log host-2.log\n"
+               "  collect-logs | boragegauge explain --upstream i-86b0 --logs -");
   AddPlatform(*explain, aOptions);
   AddAdmin(*explain, aOptions);
   explain->add_option("--service", aOptions.query.service, "Only this service");
   explain->add_option("--upstream", aOptions.query.upstream, "Only this upstream");
   explain->add_option("--proxy", aOptions.query.proxy, "Only decisions of this proxy");
-  explain->add_option("--request", aOptions.query.requestId, "Only this X-Request-Id");
+  explain->add_option("--request", aOptions.query.requestId, "Only this request id");
+  explain->add_option("--revision", aOptions.revision, "Only this revision; with --logs");
+  explain->add_option("--logs",
+                      aOptions.logs,
+                      "Read the logs of hosts from these files, - for standard input, and show "
+                      "the timeline of a request, an upstream or a revision");
   explain->add_option("--since", aOptions.since, "Age (90s, 15m, 2h, 1d), UTC time or epoch ms")
     ->capture_default_str();
   explain->add_option("--until", aOptions.until, "As --since; default: now");
--- a/packages/ctl/src/ctl_p.h
+++ b/packages/ctl/src/ctl_p.h
@@ -29,7 +29,7 @@
 std::string FormatTime(int64_t aMs);
 
 /// Parses an age such as 90s, 15m, 2h or 1d before aNowMs, a UTC time such as
-/// 2026-01-31T08:15:00Z, or milliseconds since the epoch.
+/// 2026-01-31T08:15:00Z or 2026-01-31T08:15:00.250Z, or milliseconds since the epoch.
 std::optional<int64_t> ParseTime(std::string_view aText, int64_t aNowMs);
 
 /// Parses IP:PORT and [IPV6]:PORT.
@@ -52,6 +52,7 @@
   void History(const std::vector<HistoryEntry>& aEntries);
   void Status(const FleetStatus& aStatus);
   void Explain(const ExplainResult& aResult);
+  void Show(const Timeline& aTimeline);
   void Replay(const DecisionRecord& aRecord, const ReplayResult& aReplay);
   void Failure(const std::string& aMessage);
 
--- a/packages/ctl/src/printer.cpp
+++ b/packages/ctl/src/printer.cpp
@@ -281,6 +281,34 @@
   Unreachable(aResult.unreachable);
 }
 
+void Printer::Show(const Timeline& aTimeline)
+{
+  if (json_) {
+    auto lines = Json::array();
+    for (const LogLine& line : aTimeline.lines) {
+      Json fields = Json::object();
+      for (const auto& [key, value] : line.fields)
+        fields[key] = value;
+      lines.push_back({ { "time", FormatTime(line.timeMs) },
+                        { "host", line.host },
+                        { "event", line.event },
+                        { "fields", std::move(fields) } });
+    }
+    out_ << Dump({ { "summary", aTimeline.summary }, { "lines", std::move(lines) } }) << '\n';
+    return;
+  }
+  if (!aTimeline.summary.empty())
+    out_ << aTimeline.summary << '\n';
+  if (aTimeline.lines.empty() && aTimeline.summary.empty())
+    out_ << "No line mentions it.\n";
+  for (const LogLine& line : aTimeline.lines) {
+    out_ << FormatTime(line.timeMs) << "  " << line.host << "  " << line.event;
+    for (const auto& [key, value] : line.fields)
+      out_ << "  " << key << '=' << value;
+    out_ << '\n';
+  }
+}
+
 void Printer::Replay(const DecisionRecord& aRecord, const ReplayResult& aReplay)
 {
   if (json_)
--- a/packages/ctl/src/text.cpp
+++ b/packages/ctl/src/text.cpp
@@ -32,6 +32,16 @@
   }
 }
 
+/// Milliseconds of "Z" or a fraction of a second such as ".250Z".
+std::optional<int64_t> ParseFraction(std::string_view aText)
+{
+  if (aText == "Z")
+    return 0;
+  if (aText.size() != 5 || aText.front() != '.' || aText.back() != 'Z')
+    return std::nullopt;
+  return ParseInteger(aText.substr(1, 3));
+}
+
 } // namespace
 
 std::string FormatTime(int64_t aMs)
@@ -61,10 +71,11 @@
     return ms;
   std::tm utc{};
   const std::string text(aText);
-  const char* const rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &utc);
-  if (!rest || *rest != '\0')
+  const char* const rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &utc);
+  const auto fraction = rest ? ParseFraction(rest) : std::nullopt;
+  if (!fraction)
     return std::nullopt;
-  return static_cast<int64_t>(timegm(&utc)) * 1000;
+  return static_cast<int64_t>(timegm(&utc)) * 1000 + *fraction;
 }
 
 std::optional<std::pair<std::string, uint16_t>> ParseAddress(std::string_view aText)
