--- a/tests/prove/processes.py
+++ b/tests/prove/processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -12,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_LIMIT_S = 20
 END_LIMIT_S = 15
+LISTENING_PORTS = (12000, 32000)  # Linux gives ports from 32768 on to connections.
 
 
 class ProcessError(Exception):
@@ -46,13 +48,18 @@
 
 
 def free_ports(count):
-    """Ports chosen by the system. They are released again, so a start may have to be repeated."""
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
+    """Free ports below those that the system gives to connections, so that none of them takes one
+    while a process that is to listen there is restarted."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*LISTENING_PORTS)
+        with socket.socket() as entry:
+            try:
+                entry.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
