--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -23,6 +23,15 @@
              "account": "shop-1"},
             {"name": "order", "weight": 1, "method": "POST", "target": "/orders",
              "account": "shop-1", "body_size": 800, "key": True}]},
+    "huron": {
+        "domains": ["sarnia-bay", "port-huron", "goderich"], "service": "order-desk",
+        "upstream": "desk-07", "account": "contractor-42", "browse": "/coils/26-gauge?page=1",
+        "order": "/cut-lists", "uploader": "architect-7", "upload": "/drawings/roof-layout.pdf",
+        "mix": [
+            {"name": "browse", "weight": 8, "method": "GET", "target": "/coils/26-gauge",
+             "account": "contractor-1"},
+            {"name": "order", "weight": 1, "method": "POST", "target": "/cut-lists",
+             "account": "contractor-1", "body_size": 800, "key": True}]},
 }
 
 
@@ -47,7 +56,7 @@
     status, headers, _ = http("GET", url(first, deployment["browse"]), headers=account)
     check(status == 200, f"browse: {status}, request id {headers.get('X-Request-Id')}")
 
-    order = b'{"items":[{"notebook":"quetzal-a5","count":40}]}'
+    order = b'{"items":[{"item":"a5","count":40}]}'
     keyed = {**account, "Idempotency-Key": f"order-{time.time_ns()}",
              "Content-Type": "application/json"}
     status, _, body = http("POST", url(first, deployment["order"]), order, keyed)
@@ -118,11 +127,13 @@
 
 
 def run(options, work):
-    deployment = DEPLOYMENTS["taller"]
-    fleet = Fleet(options.bin, work, ROOT / "examples" / "taller")
+    name = "huron" if options.huron else "taller"
+    deployment = DEPLOYMENTS[name]
+    fleet = Fleet(options.bin, work, ROOT / "examples" / name)
     load_tool = None
     try:
-        say("1. Platform, 38 upstreams and 4 proxies start; the folder examples/taller is applied")
+        say(f"1. Platform, upstreams and {len(deployment['domains'])} proxies start; "
+            f"the folder examples/{name} is applied")
         fleet.start_platform()
         fleet.start_upstreams(service_ms=20)
         for index, domain in enumerate(deployment["domains"], 1):
@@ -152,6 +163,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin", required=True, help="folder with the programs")
     parser.add_argument("--seed", type=int, default=20261204, help="seed of the load")
+    parser.add_argument("--huron", action="store_true",
+                        help="the deployment of examples/huron instead of examples/taller")
     parser.add_argument("--keep", action="store_true", help="keep logs and histories")
     options = parser.parse_args()
     say(f"seed {options.seed}")
