Fleet: log when a host learns of a newer configuration and how long it lacks it

The log showed when a configuration was activated, but not when the host could have known of it, so that a late announcement, a read that failed and a read that hung looked the same. Now configuration_announced says who reported a newer version, how old the last confirmation is and whether a read is in flight; configuration_read_failed gives step, error and duration; configuration_adopted and /state give the lag. No change of behaviour.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -228,6 +228,7 @@
       " reads_store=" + (isReader_ ? "yes" : "no") +
       " registry_age_ms=" + std::to_string(ToWireMs(Now() - registry_.FreshAt())) +
       " configuration_age_ms=" + std::to_string(ToWireMs(Now() - configurationFreshAt_)) +
+      " configuration_lag_ms=" + std::to_string(ToWireMs(ConfigurationLag(Now()))) +
       " granted=" + std::to_string(stats.granted) + " refused=" + std::to_string(stats.refused) +
       " unaided=" + std::to_string(stats.localFallbacks) +
       " allocator_timeouts=" + std::to_string(stats.timeouts) + "\n";
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -80,6 +80,12 @@
   void WatchConfiguration();
   void OnUpstreamRows(const StoreRows& aRows, bool aIsIncremental);
   void OnConfigurationRows(const Result<StoreRows>& aRows);
+  /// Records that a peer has a newer configuration than this host.
+  void RecordNewerConfiguration(uint64_t aVersion, const std::string& aPeer, TimePoint aNow);
+  void LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt);
+  /// How long this host has known of a newer configuration than the active one; 0: it knows of
+  /// none.
+  Duration ConfigurationLag(TimePoint aNow) const;
   /// Activates a configuration that is newer than the active one. @return True if it was activated.
   bool ActivateConfiguration(uint64_t aVersion,
                              std::string_view aDocument,
@@ -159,6 +165,9 @@
   uint32_t readerOrder_ = 0;           ///< Order of the host that was, plus 1; 0: unknown.
   std::string newerConfigurationPeer_; ///< Peer that reported a newer configuration; empty: none.
   TimePoint configurationFreshAt_{};   ///< When the active configuration was last the newest one.
+  uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
+  TimePoint newerKnownSince_{};        ///< When this host first heard of a newer configuration.
+  TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
   bool isReadingConfiguration_ = false;
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -386,6 +386,7 @@
     !view.configuration().empty() &&
     ActivateConfiguration(view.configuration_version(), view.configuration(), host);
   if (view.configuration_version() > configurationVersion_) {
+    RecordNewerConfiguration(view.configuration_version(), host, now);
     newerConfigurationPeer_ = host;
     ReadConfiguration();
   } else if (view.configuration_version() == configurationVersion_ && configurationVersion_ != 0) {
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -36,6 +36,8 @@
 constexpr Duration kMaxMembersWait = Milliseconds(300);
 /// A larger change, as at the start, is logged as one line with the numbers of upstreams.
 constexpr size_t kMaxLoggedUpstreams = 8;
+/// Failed reads of the configuration are logged no more often than this.
+constexpr Duration kReadFailureLogInterval = std::chrono::seconds(1);
 /// Table in which the hosts of the fleet register.
 constexpr std::string_view kMembersTable = "members";
 
@@ -348,6 +350,9 @@
                           }
                           RecordStoreResult(static_cast<bool>(aRows),
                                             aRows ? nullptr : &aRows.Failure());
+                          if (!aRows) {
+                            LogConfigurationReadFailure(aRows.Failure(), requestedAt);
+                          }
                           if (!aRows && !newerConfigurationPeer_.empty()) {
                             AskForState(newerConfigurationPeer_, false);
                           }
@@ -356,6 +361,49 @@
                         });
 }
 
+void FleetControl::LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt)
+{
+  const TimePoint now = Now();
+  if (now - lastReadFailureLog_ < kReadFailureLogInterval) {
+    return;
+  }
+  lastReadFailureLog_ = now;
+  Log(LogLevel::Warning,
+      "configuration_read_failed",
+      { { "step", aError.step },
+        { "peer", aError.peer },
+        { "error", aError.code.message() },
+        { "detail", aError.detail },
+        { "duration_ms", (now - aRequestedAt) / Milliseconds(1) },
+        { "revision", revision_ },
+        { "lag_ms", ConfigurationLag(now) / Milliseconds(1) } });
+}
+
+void FleetControl::RecordNewerConfiguration(uint64_t aVersion,
+                                            const std::string& aPeer,
+                                            TimePoint aNow)
+{
+  if (aVersion <= newestKnownVersion_) {
+    return;
+  }
+  if (newestKnownVersion_ <= configurationVersion_) {
+    newerKnownSince_ = aNow;
+  }
+  newestKnownVersion_ = aVersion;
+  Log(LogLevel::Info,
+      "configuration_announced",
+      { { "store_version", aVersion },
+        { "peer", aPeer },
+        { "revision", revision_ },
+        { "confirmed_ms", (aNow - configurationFreshAt_) / Milliseconds(1) },
+        { "reading", isReadingConfiguration_ } });
+}
+
+Duration FleetControl::ConfigurationLag(TimePoint aNow) const
+{
+  return newestKnownVersion_ > configurationVersion_ ? aNow - newerKnownSince_ : Duration(0);
+}
+
 void FleetControl::WatchConfiguration()
 {
   if (isWatching_ || isReadingConfiguration_) {
@@ -415,6 +463,7 @@
   if (configuration->revision <= revision_) {
     return false;
   }
+  const Duration lag = ConfigurationLag(Now());
   configurationVersion_ = aVersion;
   revision_ = configuration->revision;
   configurationDocument_ = aDocument;
@@ -425,7 +474,8 @@
       { { "revision", revision_ },
         { "store_version", aVersion },
         { "source", aSource },
-        { "routes", shared_.routes.load()->Configuration().routes.size() } });
+        { "routes", shared_.routes.load()->Configuration().routes.size() },
+        { "lag_ms", lag / Milliseconds(1) } });
   if (shared_.onRoutes) {
     shared_.onRoutes();
   }
