--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -115,6 +115,17 @@
   uint64_t sequence_ = 0;
 };
 
+/// A configuration of some 200 KB. Two revisions differ in their first line only.
+std::string LargeConfiguration(uint64_t aRevision)
+{
+  std::string document = std::to_string(aRevision) + "\n";
+  for (uint64_t route = 0; route < 4000; ++route) {
+    document +=
+      "{\"route\":\"" + std::to_string(Hash64("route", route)) + "\",\"timeout\":\"2s\"},";
+  }
+  return document;
+}
+
 } // namespace
 
 TEST_CASE("a configuration reaches hosts with limited access to the store")
@@ -153,6 +164,62 @@
   }
 }
 
+TEST_CASE("a change of a large configuration reaches a host that cannot read the document in time")
+{
+  constexpr Duration kActivationLimit = std::chrono::seconds(2);
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", LargeConfiguration(1));
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+  ControlHost one(tables, "one", 3, port);
+  ControlHost two(tables, "two", 4, port);
+  const auto isActive = [&](uint64_t aRevision) {
+    return Eventually([&] { return one.Revision() == aRevision && two.Revision() == aRevision; });
+  };
+  REQUIRE(isActive(1));
+  // Either host may be the one that reads the store for the fleet.
+  uint64_t revision = 1;
+  const auto changeWhile = [&](const std::function<void(FakeFaults&, bool)>& aSetFault) {
+    for (ControlHost* limited : { &one, &two }) {
+      aSetFault(limited->faults, true);
+      tables.Put(kConfigurationTable, "current", LargeConfiguration(++revision));
+      const TimePoint changedAt = Now();
+      CHECK(isActive(revision));
+      CHECK(Now() - changedAt < kActivationLimit);
+      aSetFault(limited->faults, false);
+    }
+  };
+  SUBCASE("because the store refuses it")
+  {
+    changeWhile([](FakeFaults& aFaults, bool aIsOn) { aFaults.refuses = aIsOn; });
+  }
+  SUBCASE("because its calls get no response")
+  {
+    changeWhile([](FakeFaults& aFaults, bool aIsOn) { aFaults.hangs = aIsOn; });
+  }
+  SUBCASE("because of its slow network link")
+  {
+    changeWhile([](FakeFaults& aFaults, bool aIsOn) { aFaults.readDelayMs = aIsOn ? 3000 : 0; });
+  }
+}
+
+TEST_CASE("a host that the store refuses does not call it in a loop")
+{
+  // Otherwise the calls of refused hosts use up the rate that the store grants to the fleet.
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", LargeConfiguration(1));
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+  ControlHost one(tables, "one", 3, port);
+  ControlHost two(tables, "two", 4, port);
+  REQUIRE(Eventually([&] { return one.Revision() == 1 && two.Revision() == 1; }));
+  one.faults.refuses = true;
+  const int callsBefore = one.faults.reads + one.faults.watches;
+  tables.Put(kConfigurationTable, "current", LargeConfiguration(2));
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  CHECK(one.faults.reads + one.faults.watches - callsBefore <= 9);
+}
+
 TEST_CASE("changes of upstreams reach all hosts")
 {
   FakeTables tables;
--- a/packages/fleet/tests/fake_row_store.h
+++ b/packages/fleet/tests/fake_row_store.h
@@ -78,6 +78,7 @@
 struct FakeFaults
 {
   std::atomic<bool> refuses = false; ///< All calls fail with Unavailable.
+  std::atomic<bool> hangs = false;   ///< Reads and watches get no response until their deadline.
   std::atomic<int> readDelayMs = 0;  ///< Of reads of whole tables; beyond the deadline they fail.
   std::atomic<int> reads = 0;        ///< Reads of whole tables.
   std::atomic<int> watches = 0;
@@ -101,10 +102,8 @@
       return Refuse(std::move(aCallback));
     }
     const Duration delay = Milliseconds(faults_.readDelayMs);
-    if (delay > aDeadline) {
-      return After(aDeadline, [aCallback = std::move(aCallback)] {
-        aCallback(Error{ Errc::OutcomeUnknown, "fake.read", "", "no response" });
-      });
+    if (faults_.hangs || delay > aDeadline) {
+      return Hang(aDeadline, std::move(aCallback));
     }
     After(delay, [this, table = std::string(aTable), aCallback = std::move(aCallback)] {
       aCallback(tables_.Read(table));
@@ -114,13 +113,16 @@
   void Watch(std::string_view aTable,
              uint64_t aAfter,
              Duration aWait,
-             Duration /*aDeadline*/,
+             Duration aDeadline,
              Callback<StoreRows> aCallback) override
   {
     ++faults_.watches;
     if (faults_.refuses) {
       return Refuse(std::move(aCallback));
     }
+    if (faults_.hangs) {
+      return Hang(aWait + aDeadline, std::move(aCallback));
+    }
     Poll(std::string(aTable), aAfter, Now() + aWait, std::move(aCallback));
   }
 
@@ -147,6 +149,13 @@
     });
   }
 
+  void Hang(Duration aTime, Callback<StoreRows> aCallback)
+  {
+    After(aTime, [aCallback = std::move(aCallback)] {
+      aCallback(Error{ Errc::OutcomeUnknown, "fake.call", "", "no response" });
+    });
+  }
+
   void Poll(std::string aTable, uint64_t aAfter, TimePoint aUntil, Callback<StoreRows> aCallback)
   {
     Result<StoreRows> rows = tables_.ChangesAfter(aTable, aAfter);
