Fleet: a host that the store refuses paces its reads of the configuration

Cause: a view with a newer version starts a read; when the read is refused, the host asks the peer for its state; the answer carries the version, but not a document over 32 KB, so it starts the next read, once a round trip. Ruled out: the schedule of the upstream reads, which backs off, and the watch, which only the reader keeps.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -168,6 +168,7 @@
   uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
   TimePoint newerKnownSince_{};        ///< When this host first heard of a newer configuration.
   TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
+  TimePoint nextConfigurationRead_{};  ///< After a failed read; earlier ones are not worth a call.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
   bool isReadingConfiguration_ = false;
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -388,7 +388,9 @@
   if (view.configuration_version() > configurationVersion_) {
     RecordNewerConfiguration(view.configuration_version(), host, now);
     newerConfigurationPeer_ = host;
-    ReadConfiguration();
+    if (now >= nextConfigurationRead_) {
+      ReadConfiguration();
+    }
   } else if (view.configuration_version() == configurationVersion_ && configurationVersion_ != 0) {
     configurationFreshAt_ =
       std::max(configurationFreshAt_, now - Milliseconds(view.configuration_age_ms()));
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -341,24 +341,26 @@
     return;
   }
   isReadingConfiguration_ = true;
-  platform_.store->Read(platform_.configurationTable,
-                        kConfigurationDeadline,
-                        [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
-                          isReadingConfiguration_ = false;
-                          if (requestedAt < resumedAt_) {
-                            return ReadConfiguration();
-                          }
-                          RecordStoreResult(static_cast<bool>(aRows),
-                                            aRows ? nullptr : &aRows.Failure());
-                          if (!aRows) {
-                            LogConfigurationReadFailure(aRows.Failure(), requestedAt);
-                          }
-                          if (!aRows && !newerConfigurationPeer_.empty()) {
-                            AskForState(newerConfigurationPeer_, false);
-                          }
-                          newerConfigurationPeer_.clear();
-                          OnConfigurationRows(aRows);
-                        });
+  platform_.store->Read(
+    platform_.configurationTable,
+    kConfigurationDeadline,
+    [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
+      isReadingConfiguration_ = false;
+      if (requestedAt < resumedAt_) {
+        return ReadConfiguration();
+      }
+      RecordStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
+      if (!aRows) {
+        nextConfigurationRead_ =
+          schedule_.NextRead(Duration(0), TimePoint{}, lastStoreFailure_, storeFailures_);
+        LogConfigurationReadFailure(aRows.Failure(), requestedAt);
+      }
+      if (!aRows && !newerConfigurationPeer_.empty()) {
+        AskForState(newerConfigurationPeer_, false);
+      }
+      newerConfigurationPeer_.clear();
+      OnConfigurationRows(aRows);
+    });
 }
 
 void FleetControl::LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt)
