Fleet: changes of the configuration travel as patches, and peers give the document

Cause: a configuration over 32 KB had one source for a host, its own read of the store. Its time grows with the document (3,000 routes: 0.9 MB on the wire, 10 Mbit/s and a tenth of a core at most hosts), each host that had read it then sent views to all heads as if it had found the change, and a host whose read was refused or got no answer kept the old version although its peers had the new one.

A change now goes along the tree as a patch of the version before, a few hundred bytes for any size. A host without the version before asks the announcer, then heads, within a byte budget, and reads the store when peers take over 150 ms. Only the host that finds a change acts as its source.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -156,6 +156,7 @@
   ReadStore(now);
   ConnectPeers(now);
   AskPeerForState(now);
+  FetchConfiguration(now);
   if (IsReady() != isReady_) {
     isReady_ = IsReady();
     Log(LogLevel::Info,
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -11,6 +11,7 @@
 #include "boragegauge/overlay.h"
 #include "boragegauge/peering.h"
 #include "routes_p.h"
+#include "shared_document_p.h"
 #include "slot_client_p.h"
 
 namespace bg::fleet::detail {
@@ -87,9 +88,20 @@
   /// none.
   Duration ConfigurationLag(TimePoint aNow) const;
   /// Activates a configuration that is newer than the active one. @return True if it was activated.
+  /// @param aReceived See SharedDocument::Replace().
   bool ActivateConfiguration(uint64_t aVersion,
-                             std::string_view aDocument,
+                             std::string aDocument,
+                             const wire::Document* aReceived,
                              std::string_view aSource);
+  /// Activates the configuration of a peer, if its document fits this host.
+  bool ActivateFromPeer(uint64_t aVersion,
+                        const wire::Document& aDocument,
+                        const std::string& aPeer);
+  /// Gets the newer configuration that a peer has reported: from peers, and from the store when
+  /// they take longer.
+  void FetchConfiguration(TimePoint aNow);
+  /// Passes on a configuration that this host has got later than its version.
+  void ForwardConfiguration(TimePoint aNow);
   void OnRegistryChange(const RegistryChange& aChange, std::string_view aSource);
   void LogUpstreamChanges(const RegistryChange& aChange, std::string_view aSource) const;
   void RecordStoreResult(bool aIsAvailable, const Error* aError);
@@ -104,13 +116,21 @@
   /// Sends a change, or a full snapshot if aChange is null.
   void SendView(std::span<const std::string> aHosts,
                 const RegistryChange* aChange,
-                bool aWithConfiguration,
+                const wire::Document* aConfiguration,
                 std::span<const std::string> aJoined = {});
+  /// Returns the encoded configuration if it is small enough to go along with a view; otherwise
+  /// null.
+  /// @param aKnownVersion See SharedDocument::Encode().
+  const wire::Document* SmallDocument(uint64_t aKnownVersion) const;
+  /// The same for all hosts, most of which have the version before.
+  const wire::Document* SharedChange() const;
   /// Sends state that this host has read from the store.
   void ShareView(const RegistryChange& aChange,
                  bool aWithConfiguration,
                  std::span<const std::string> aJoined = {});
   void AnswerHello(const wire::Envelope& aMessage);
+  void AnswerConfigurationRequest(const wire::Envelope& aMessage);
+  void HandleConfiguration(const wire::Envelope& aMessage);
   bool ApplyView(const wire::View& aView, const std::string& aHost, RegistryChange& aLocalChange);
   void CheckMembers(const wire::View& aView, const std::string& aHost, TimePoint aNow);
   /// @return True if the member was unknown.
@@ -158,17 +178,20 @@
   std::unique_ptr<EventLoop::Timer> pendingTimer_;
   uint64_t droppedMessages_ = 0; ///< Since the last log line about them.
 
-  uint64_t configurationVersion_ = 0; ///< Store version of the active configuration.
-  uint64_t revision_ = 0;             ///< Of the active configuration; 0: none.
-  std::string configurationDocument_;
+  uint64_t revision_ = 0;              ///< Of the active configuration; 0: none.
+  SharedDocument document_;            ///< The active configuration.
   bool isReader_ = false;              ///< This host was the last one to read the store.
   uint32_t readerOrder_ = 0;           ///< Order of the host that was, plus 1; 0: unknown.
-  std::string newerConfigurationPeer_; ///< Peer that reported a newer configuration; empty: none.
+  std::string newerConfigurationPeer_; ///< The last peer that reported a newer configuration.
   TimePoint configurationFreshAt_{};   ///< When the active configuration was last the newest one.
   uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
   TimePoint newerKnownSince_{};        ///< When this host first heard of a newer configuration.
-  TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
-  TimePoint nextConfigurationRead_{};  ///< After a failed read; earlier ones are not worth a call.
+  uint32_t configurationRequests_ = 0; ///< To peers since then.
+  TimePoint nextConfigurationRequest_{};
+  TimePoint documentBytesSince_{};    ///< Start of the second in which documentBytes_ were sent.
+  size_t documentBytes_ = 0;          ///< Of large documents.
+  TimePoint lastReadFailureLog_{};    ///< Of a read of the configuration.
+  TimePoint nextConfigurationRead_{}; ///< After a failed read; earlier ones are not worth a call.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
   bool isReadingConfiguration_ = false;
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -32,9 +32,18 @@
 constexpr Duration kPeerConnectTime = Milliseconds(20);
 /// Messages that wait for new connections.
 constexpr size_t kMaxPendingMessages = 256;
-/// A larger configuration is not sent along with changes, to spare the network link of the sender.
-/// Each host reads it from the store.
-constexpr size_t kMaxSharedDocumentBytes = 32UL << 10;
+/// A configuration up to this size is sent along with changes as a whole, which also serves hosts
+/// that have missed the version before; of a larger one, the patch is.
+constexpr size_t kMaxWholeDocumentBytes = 32UL << 10;
+/// A larger encoded configuration is not sent along with changes, to spare the network link of the
+/// sender. Hosts ask for it.
+constexpr size_t kMaxSharedDocumentBytes = 8UL << 10;
+/// Larger encoded configurations that a host sends per second. Hosts that get no answer ask others.
+constexpr size_t kMaxDocumentBytesPerSecond = 256UL << 10;
+/// Interval between requests for a newer configuration.
+constexpr Duration kConfigurationRequestInterval = Milliseconds(200);
+/// A host reads a newer configuration from the store if no peer has sent it in this time.
+constexpr Duration kPeerConfigurationTime = Milliseconds(150);
 
 } // namespace
 
@@ -182,13 +191,13 @@
     hello.set_registry_version(registry_.Version());
     hello.set_registry_digest(registry_.Digest());
   }
-  hello.set_configuration_version(configurationVersion_);
+  hello.set_configuration_version(document_.Version());
   Send(aHost, std::move(envelope));
 }
 
 void FleetControl::SendView(std::span<const std::string> aHosts,
                             const RegistryChange* aChange,
-                            bool aWithConfiguration,
+                            const wire::Document* aConfiguration,
                             std::span<const std::string> aJoined)
 {
   if (aHosts.empty()) {
@@ -214,10 +223,10 @@
   }
   const TimePoint now = Now();
   view.set_registry_age_ms(ToWireMs(now - registry_.FreshAt()));
-  view.set_configuration_version(configurationVersion_);
+  view.set_configuration_version(document_.Version());
   view.set_configuration_age_ms(ToWireMs(now - configurationFreshAt_));
-  if (aWithConfiguration && configurationDocument_.size() <= kMaxSharedDocumentBytes) {
-    view.set_configuration(configurationDocument_);
+  if (aConfiguration != nullptr) {
+    *view.mutable_configuration() = *aConfiguration;
   }
   for (const std::string& host : aJoined) {
     *view.add_joined() = ToWire(*members_->Find(host));
@@ -236,7 +245,102 @@
                              std::span<const std::string> aJoined)
 {
   if (registry_.HasState()) {
-    SendView(spreader_->SourceTargets(Now()), &aChange, aWithConfiguration, aJoined);
+    SendView(spreader_->SourceTargets(Now()),
+             &aChange,
+             aWithConfiguration ? SharedChange() : nullptr,
+             aJoined);
+  }
+}
+
+const wire::Document* FleetControl::SmallDocument(uint64_t aKnownVersion) const
+{
+  const wire::Document& document = document_.Encode(aKnownVersion);
+  return document.data().size() <= kMaxSharedDocumentBytes ? &document : nullptr;
+}
+
+const wire::Document* FleetControl::SharedChange() const
+{
+  return SmallDocument(document_.Text().size() <= kMaxWholeDocumentBytes ? 0
+                                                                         : document_.PatchBase());
+}
+
+void FleetControl::ForwardConfiguration(TimePoint aNow)
+{
+  const Member* announcer = members_->Find(newerConfigurationPeer_);
+  const std::vector<std::string> targets = spreader_->OnReceived(
+    newerConfigurationPeer_, announcer == nullptr ? "" : announcer->failureDomain, true, aNow);
+  if (registry_.HasState()) {
+    const RegistryChange none;
+    SendView(targets, &none, SharedChange());
+  }
+}
+
+bool FleetControl::ActivateFromPeer(uint64_t aVersion,
+                                    const wire::Document& aDocument,
+                                    const std::string& aPeer)
+{
+  if (aVersion <= document_.Version() || aDocument.data().empty()) {
+    return false;
+  }
+  auto text = document_.Decode(aDocument);
+  return text && ActivateConfiguration(aVersion, std::move(*text), &aDocument, aPeer);
+}
+
+void FleetControl::FetchConfiguration(TimePoint aNow)
+{
+  if (newestKnownVersion_ <= document_.Version()) {
+    return;
+  }
+  if (aNow >= nextConfigurationRequest_) {
+    nextConfigurationRequest_ = aNow + kConfigurationRequestInterval;
+    const bool isFirst = configurationRequests_++ == 0;
+    const std::string host =
+      isFirst ? newerConfigurationPeer_
+              : spreader_->Tree().RandomHead(random_(), configurationRequests_ % 2 == 0);
+    if (!host.empty()) {
+      wire::Envelope envelope;
+      envelope.mutable_configuration_request()->set_version(document_.Version());
+      Send(host, std::move(envelope));
+    }
+  }
+  if (aNow - newerKnownSince_ >= kPeerConfigurationTime && aNow >= nextConfigurationRead_) {
+    ReadConfiguration();
+  }
+}
+
+void FleetControl::AnswerConfigurationRequest(const wire::Envelope& aMessage)
+{
+  const uint64_t known = aMessage.configuration_request().version();
+  if (known >= document_.Version()) {
+    return;
+  }
+  const wire::Document& document = document_.Encode(known);
+  const TimePoint now = Now();
+  if (now - documentBytesSince_ >= std::chrono::seconds(1)) {
+    documentBytesSince_ = now;
+    documentBytes_ = 0;
+  }
+  if (documentBytes_ != 0 && documentBytes_ + document.data().size() > kMaxDocumentBytesPerSecond) {
+    return;
+  }
+  documentBytes_ += document.data().size();
+  wire::Envelope envelope;
+  wire::Configuration& configuration = *envelope.mutable_configuration();
+  configuration.set_version(document_.Version());
+  configuration.set_age_ms(ToWireMs(now - configurationFreshAt_));
+  *configuration.mutable_document() = document;
+  Send(aMessage.sender().host(), std::move(envelope));
+}
+
+void FleetControl::HandleConfiguration(const wire::Envelope& aMessage)
+{
+  const wire::Configuration& configuration = aMessage.configuration();
+  const TimePoint now = Now();
+  if (ActivateFromPeer(
+        configuration.version(), configuration.document(), aMessage.sender().host())) {
+    configurationFreshAt_ =
+      std::max(configurationFreshAt_, now - Milliseconds(configuration.age_ms()));
+    ForwardConfiguration(now);
   }
 }
 
@@ -258,6 +362,11 @@
       return HandleHello(*message);
     case wire::Envelope::kView:
       return HandleView(*message);
+    case wire::Envelope::kConfigurationRequest:
+      ConnectPeer(sender.host);
+      return AnswerConfigurationRequest(*message);
+    case wire::Envelope::kConfiguration:
+      return HandleConfiguration(*message);
     case wire::Envelope::kSlotRequest:
       ConnectPeer(sender.host);
       return slots_->HandleMessage(*message);
@@ -298,10 +407,12 @@
   if (!registry_.HasState() || revision_ == 0) {
     return;
   }
-  const bool withConfiguration = hello.configuration_version() < configurationVersion_;
+  const wire::Document* configuration = hello.configuration_version() < document_.Version()
+                                          ? SmallDocument(hello.configuration_version())
+                                          : nullptr;
   if (hello.registry_version() != 0 && hello.registry_digest() == registry_.Digest()) {
     const RegistryChange none;
-    return SendView({ &host, 1 }, &none, withConfiguration);
+    return SendView({ &host, 1 }, &none, configuration);
   }
   if (now - fullViewsSince_ >= std::chrono::seconds(1)) {
     fullViewsSince_ = now;
@@ -309,7 +420,7 @@
   }
   if (fullViews_ < kMaxFullViewsPerSecond) {
     ++fullViews_;
-    SendView({ &host, 1 }, nullptr, withConfiguration);
+    SendView({ &host, 1 }, nullptr, configuration);
   }
 }
 
@@ -383,15 +494,12 @@
     AskForState(host, false);
   }
   const bool isActivated =
-    !view.configuration().empty() &&
-    ActivateConfiguration(view.configuration_version(), view.configuration(), host);
-  if (view.configuration_version() > configurationVersion_) {
-    RecordNewerConfiguration(view.configuration_version(), host, now);
+    ActivateFromPeer(view.configuration_version(), view.configuration(), host);
+  if (view.configuration_version() > document_.Version()) {
     newerConfigurationPeer_ = host;
-    if (now >= nextConfigurationRead_) {
-      ReadConfiguration();
-    }
-  } else if (view.configuration_version() == configurationVersion_ && configurationVersion_ != 0) {
+    RecordNewerConfiguration(view.configuration_version(), host, now);
+    FetchConfiguration(now);
+  } else if (view.configuration_version() == document_.Version() && document_.Version() != 0) {
     configurationFreshAt_ =
       std::max(configurationFreshAt_, now - Milliseconds(view.configuration_age_ms()));
   }
@@ -407,7 +515,7 @@
   const std::vector<std::string> targets =
     spreader_->OnReceived(host, aMessage.sender().failure_domain(), isNews, now);
   if (registry_.HasState()) {
-    SendView(targets, &localChange, isActivated, joined);
+    SendView(targets, &localChange, isActivated ? SharedChange() : nullptr, joined);
   }
 }
 
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -388,8 +388,10 @@
   if (aVersion <= newestKnownVersion_) {
     return;
   }
-  if (newestKnownVersion_ <= configurationVersion_) {
+  if (newestKnownVersion_ <= document_.Version()) {
     newerKnownSince_ = aNow;
+    configurationRequests_ = 0;
+    nextConfigurationRequest_ = aNow;
   }
   newestKnownVersion_ = aVersion;
   Log(LogLevel::Info,
@@ -403,7 +405,7 @@
 
 Duration FleetControl::ConfigurationLag(TimePoint aNow) const
 {
-  return newestKnownVersion_ > configurationVersion_ ? aNow - newerKnownSince_ : Duration(0);
+  return newestKnownVersion_ > document_.Version() ? aNow - newerKnownSince_ : Duration(0);
 }
 
 void FleetControl::WatchConfiguration()
@@ -413,7 +415,7 @@
   }
   isWatching_ = true;
   platform_.store->Watch(platform_.configurationTable,
-                         configurationVersion_,
+                         document_.Version(),
                          kWatchWait,
                          kWatchDeadline,
                          [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
@@ -440,16 +442,22 @@
       newest = &row;
     }
   }
+  const bool wasAnnounced = newest != nullptr && newest->version <= newestKnownVersion_;
   const bool isNew =
-    newest != nullptr && ActivateConfiguration(newest->version, newest->value, "store");
+    newest != nullptr && ActivateConfiguration(newest->version, newest->value, nullptr, "store");
+  if (isNew && wasAnnounced) {
+    // The host that announced it has told all others.
+    return ForwardConfiguration(Now());
+  }
   ShareView({}, isNew);
 }
 
 bool FleetControl::ActivateConfiguration(uint64_t aVersion,
-                                         std::string_view aDocument,
+                                         std::string aDocument,
+                                         const wire::Document* aReceived,
                                          std::string_view aSource)
 {
-  if (aVersion <= configurationVersion_) {
+  if (aVersion <= document_.Version()) {
     return false;
   }
   auto configuration = platform_.parseConfiguration(aDocument);
@@ -466,9 +474,8 @@
     return false;
   }
   const Duration lag = ConfigurationLag(Now());
-  configurationVersion_ = aVersion;
   revision_ = configuration->revision;
-  configurationDocument_ = aDocument;
+  document_.Replace(aVersion, std::move(aDocument), aReceived);
   shared_.routes.store(std::make_shared<const RouteTable>(
     std::make_shared<const FleetConfiguration>(std::move(*configuration))));
   Log(LogLevel::Info,
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -19,13 +19,8 @@
   if (compressed.size() > kMaxPeerMessageBytes) {
     return false;
   }
-  std::string bytes(compressed.size(), '\0');
-  uLongf size = bytes.size();
-  const int result = uncompress(reinterpret_cast<Bytef*>(bytes.data()),
-                                &size,
-                                reinterpret_cast<const Bytef*>(compressed.data().data()),
-                                compressed.data().size());
-  return result == Z_OK && size == bytes.size() && aMessage.mutable_view()->ParseFromString(bytes);
+  const auto bytes = DecompressBytes(compressed.data(), compressed.size());
+  return bytes && aMessage.mutable_view()->ParseFromString(*bytes);
 }
 
 } // namespace
@@ -86,22 +81,43 @@
   return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, kMaxPeriodMs));
 }
 
+std::string CompressBytes(std::string_view aBytes)
+{
+  uLongf size = compressBound(aBytes.size());
+  std::string data(size, '\0');
+  const int result = compress2(reinterpret_cast<Bytef*>(data.data()),
+                               &size,
+                               reinterpret_cast<const Bytef*>(aBytes.data()),
+                               aBytes.size(),
+                               Z_BEST_SPEED);
+  data.resize(result == Z_OK ? size : 0);
+  return data;
+}
+
+std::optional<std::string> DecompressBytes(std::string_view aBytes, size_t aSize)
+{
+  std::string bytes(aSize, '\0');
+  uLongf size = bytes.size();
+  const int result = uncompress(reinterpret_cast<Bytef*>(bytes.data()),
+                                &size,
+                                reinterpret_cast<const Bytef*>(aBytes.data()),
+                                aBytes.size());
+  if (result != Z_OK || size != bytes.size()) {
+    return std::nullopt;
+  }
+  return bytes;
+}
+
 void CompressView(wire::Envelope& aMessage)
 {
-  const size_t size = aMessage.view().ByteSizeLong();
-  if (size < kMinCompressedViewBytes) {
+  // The configuration is compressed already.
+  if (aMessage.view().ByteSizeLong() - aMessage.view().configuration().ByteSizeLong() <
+      kMinCompressedViewBytes) {
     return;
   }
   const std::string bytes = aMessage.view().SerializeAsString();
-  uLongf compressedSize = compressBound(bytes.size());
-  std::string data(compressedSize, '\0');
-  const int result = compress2(reinterpret_cast<Bytef*>(data.data()),
-                               &compressedSize,
-                               reinterpret_cast<const Bytef*>(bytes.data()),
-                               bytes.size(),
-                               Z_BEST_SPEED);
-  if (result == Z_OK) {
-    data.resize(compressedSize);
+  std::string data = CompressBytes(bytes);
+  if (!data.empty()) {
     aMessage.mutable_compressed_view()->set_size(static_cast<uint32_t>(bytes.size()));
     aMessage.mutable_compressed_view()->set_data(std::move(data));
   }
--- a/packages/fleet/src/messages_p.h
+++ b/packages/fleet/src/messages_p.h
@@ -18,6 +18,12 @@
 /// Converts a period to ms, clamped to [0, kMaxPeriodMs].
 uint32_t ToWireMs(Duration aPeriod);
 
+/// Compresses bytes with zlib. @return Empty if that fails for lack of memory.
+std::string CompressBytes(std::string_view aBytes);
+/// @param aSize Size of the result. @return Nothing if the bytes are not the compressed form of as
+/// many bytes.
+std::optional<std::string> DecompressBytes(std::string_view aBytes, size_t aSize);
+
 /// Replaces the view of a message by its compressed form if it is large.
 void CompressView(wire::Envelope& aMessage);
 
--- /dev/null
+++ b/packages/fleet/tests/shared_document_test.cpp
@@ -0,0 +1,116 @@
+#include <doctest/doctest.h>
+
+#include "boragegauge/base.h"
+#include "shared_document_p.h"
+
+using namespace bg;
+using namespace bg::fleet;
+using namespace bg::fleet::detail;
+
+namespace {
+
+std::string Route(size_t aNumber, const std::string& aTimeout = "2s")
+{
+  return "{\"route\":\"" + std::to_string(Hash64("route", aNumber)) + "\",\"timeout\":\"" +
+         aTimeout + "\"},";
+}
+
+std::string Routes(size_t aCount)
+{
+  std::string text;
+  for (size_t i = 0; i < aCount; ++i) {
+    text += Route(i);
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("a document that hosts pass on")
+{
+  constexpr size_t kRoutes = 3000;
+  SharedDocument sender;
+  SharedDocument receiver;
+  const std::string first = "{\"version\":1}" + Routes(kRoutes);
+  sender.Replace(1, first, nullptr);
+  const auto isPassedOn = [&](uint64_t aVersion, const std::string& aText) {
+    const wire::Document& document = sender.Encode(receiver.Version());
+    const auto text = receiver.Decode(document);
+    REQUIRE(text);
+    CHECK(*text == aText);
+    receiver.Replace(aVersion, *text, &document);
+    return document.data().size();
+  };
+
+  SUBCASE("reaches a host without an earlier version as a whole")
+  {
+    CHECK(isPassedOn(1, first) < first.size());
+
+    SUBCASE("and its changes as patches whose size does not grow with the document")
+    {
+      std::string second = first;
+      second.replace(second.find("1}"), 2, "22}");
+      second.replace(second.find(Route(1234)), Route(1234).size(), Route(1234, "750ms"));
+      second.erase(second.find(Route(7)), Route(7).size());
+      second += Route(kRoutes);
+      sender.Replace(2, second, nullptr);
+      CHECK(isPassedOn(2, second) < 400);
+
+      SUBCASE("which the receiver passes on as it got them")
+      {
+        SharedDocument next;
+        next.Replace(1, first, nullptr);
+        const auto text = next.Decode(receiver.Encode(1));
+        REQUIRE(text);
+        CHECK(*text == second);
+      }
+    }
+    SUBCASE("and is replaced as a whole at a host that has missed a version")
+    {
+      sender.Replace(2, first + Route(kRoutes), nullptr);
+      sender.Replace(3, first + Route(kRoutes + 1), nullptr);
+      CHECK(isPassedOn(3, first + Route(kRoutes + 1)) > 400);
+    }
+    SUBCASE("and may become empty or another one")
+    {
+      sender.Replace(2, "x", nullptr);
+      isPassedOn(2, "x");
+      sender.Replace(3, first + first, nullptr);
+      isPassedOn(3, first + first);
+    }
+  }
+  SUBCASE("is not taken")
+  {
+    sender.Replace(2, first + Route(kRoutes), nullptr);
+    receiver.Replace(1, first, nullptr);
+    wire::Document document = sender.Encode(1);
+    SUBCASE("if it is a patch of another version")
+    {
+      document.set_base_version(9);
+    }
+    SUBCASE("if its text differs from that of the sender")
+    {
+      document.set_digest(document.digest() + 1);
+    }
+    SUBCASE("if it is damaged")
+    {
+      document.mutable_data()->resize(document.data().size() / 2);
+    }
+    SUBCASE("if it states a size that no document has")
+    {
+      document.set_size(UINT32_MAX);
+    }
+    CHECK_FALSE(receiver.Decode(document));
+  }
+}
+
+TEST_CASE("a patch that copies bytes beyond its text is not applied")
+{
+  wire::Patch patch;
+  wire::PatchStep& step = *patch.add_steps();
+  step.set_copy_from(3);
+  step.set_copy_bytes(UINT32_MAX);
+  CHECK_FALSE(ApplyPatch("text", patch));
+  step.set_copy_bytes(1);
+  CHECK(ApplyPatch("text", patch) == "t");
+}
