Fleet: the deadline of a watch leaves time for the transfer of the document

The first host activated a change of 3,000 routes 1.9 to 3.3 s after its acknowledgement (config_apply: 2.5 s): its watch was given up 0.5 s after the end of the wait, while 0.9 MB were on the way over 10 Mbit/s, and the document was read once more. Ruled out: the store (its link is a third full) and the other hosts, which the patches serve.

The deadline grows by the size of the active document at 400 KB/s. Test: 'a watch over a slow network link delivers a large configuration' failed before (a read of the table) and passes.

--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -18,8 +18,11 @@
 /// How long the store may hold a watch open without a change. A change must be active within 2 s
 /// even if the store refuses the watching host or its open connection stops delivering data.
 constexpr Duration kWatchWait = Milliseconds(700);
-/// Time for the response to a watch after kWatchWait. The table is read if there is no response.
+/// Time for the response to a watch after kWatchWait, besides that for the transfer of the
+/// document. The table is read if there is no response.
 constexpr Duration kWatchDeadline = Milliseconds(500);
+/// Rate at which the slowest host receives a document from the store.
+constexpr size_t kMinStoreBytesPerSecond = 400'000;
 /// Interval at which the host that reads the store looks for new members.
 constexpr Duration kMemberChangesInterval = std::chrono::seconds(1);
 /// A host that starts waits this long for the state of a peer before it reads the store, plus a
@@ -48,6 +51,12 @@
   return row;
 }
 
+/// Longest time that a document takes from the store to a host.
+Duration TransferTime(size_t aBytes)
+{
+  return Milliseconds(aBytes * 1000 / kMinStoreBytesPerSecond);
+}
+
 /// Whether two incarnations of a host have the same address and the same place in rankings.
 bool IsSameRegistration(const Member& aLeft, const Member& aRight)
 {
@@ -417,7 +426,7 @@
   platform_.store->Watch(platform_.configurationTable,
                          document_.Version(),
                          kWatchWait,
-                         kWatchDeadline,
+                         kWatchDeadline + TransferTime(document_.Text().size()),
                          [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
                            isWatching_ = false;
                            if (!aRows || requestedAt < resumedAt_) {
--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -203,6 +203,22 @@
   }
 }
 
+TEST_CASE("a watch over a slow network link delivers a large configuration")
+{
+  // A watch that is given up is followed by a read, which transfers the document once more.
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", LargeConfiguration(1));
+  tables.Put(kUpstreamTable, "one", "ready");
+  ControlHost host(tables, "narrow", 2, FreePort());
+  REQUIRE(Eventually([&] { return host.Revision() == 1 && host.GrantsSlotOf("one"); }));
+  const int readsBefore = host.faults.reads;
+  host.faults.rowDelayMs = 700;
+  host.faults.readDelayMs = 700;
+  tables.Put(kConfigurationTable, "current", LargeConfiguration(2));
+  CHECK(Eventually([&] { return host.Revision() == 2; }));
+  CHECK(host.faults.reads == readsBefore);
+}
+
 TEST_CASE("a host that the store refuses does not call it in a loop")
 {
   // Otherwise the calls of refused hosts use up the rate that the store grants to the fleet.
--- a/packages/fleet/tests/fake_row_store.h
+++ b/packages/fleet/tests/fake_row_store.h
@@ -80,7 +80,8 @@
   std::atomic<bool> refuses = false; ///< All calls fail with Unavailable.
   std::atomic<bool> hangs = false;   ///< Reads and watches get no response until their deadline.
   std::atomic<int> readDelayMs = 0;  ///< Of reads of whole tables; beyond the deadline they fail.
-  std::atomic<int> reads = 0;        ///< Reads of whole tables.
+  std::atomic<int> rowDelayMs = 0; ///< Of watches that return rows; beyond the deadline they fail.
+  std::atomic<int> reads = 0;      ///< Reads of whole tables.
   std::atomic<int> watches = 0;
   std::atomic<int> writes = 0;
 };
@@ -123,7 +124,7 @@
     if (faults_.hangs) {
       return Hang(aWait + aDeadline, std::move(aCallback));
     }
-    Poll(std::string(aTable), aAfter, Now() + aWait, std::move(aCallback));
+    Poll(std::string(aTable), aAfter, Now() + aWait, aDeadline, std::move(aCallback));
   }
 
   void Put(std::string_view aTable,
@@ -156,17 +157,30 @@
     });
   }
 
-  void Poll(std::string aTable, uint64_t aAfter, TimePoint aUntil, Callback<StoreRows> aCallback)
+  void Poll(std::string aTable,
+            uint64_t aAfter,
+            TimePoint aUntil,
+            Duration aDeadline,
+            Callback<StoreRows> aCallback)
   {
     Result<StoreRows> rows = tables_.ChangesAfter(aTable, aAfter);
     if (!rows || !rows->rows.empty() || Now() >= aUntil) {
-      return After(Duration(0),
+      const Duration delay =
+        Milliseconds(rows && !rows->rows.empty() ? faults_.rowDelayMs.load() : 0);
+      if (delay > aDeadline) {
+        return Hang(aDeadline, std::move(aCallback));
+      }
+      return After(delay,
                    [rows = std::move(rows), aCallback = std::move(aCallback)] { aCallback(rows); });
     }
-    After(Milliseconds(10),
-          [this, aTable = std::move(aTable), aAfter, aUntil, aCallback = std::move(aCallback)] {
-            Poll(aTable, aAfter, aUntil, aCallback);
-          });
+    After(
+      Milliseconds(10),
+      [this,
+       aTable = std::move(aTable),
+       aAfter,
+       aUntil,
+       aDeadline,
+       aCallback = std::move(aCallback)] { Poll(aTable, aAfter, aUntil, aDeadline, aCallback); });
   }
 
   void After(Duration aDelay, std::function<void()> aCallback)
