--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -97,8 +97,7 @@
   bool ActivateFromPeer(uint64_t aVersion,
                         const wire::Document& aDocument,
                         const std::string& aPeer);
-  /// Gets the newer configuration that a peer has reported: from peers, and from the store when
-  /// they take longer.
+  /// Gets the newer configuration that a peer has reported, from peers or from the store.
   void FetchConfiguration(TimePoint aNow);
   /// Passes on a configuration that this host has got later than its version.
   void ForwardConfiguration(TimePoint aNow);
@@ -186,6 +185,7 @@
   TimePoint configurationFreshAt_{};   ///< When the active configuration was last the newest one.
   uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
   TimePoint newerKnownSince_{};        ///< When this host first heard of a newer configuration.
+  bool isNewerLarge_ = false;          ///< Peers send the change to some hosts only.
   uint32_t configurationRequests_ = 0; ///< To peers since then.
   TimePoint nextConfigurationRequest_{};
   TimePoint documentBytesSince_{};    ///< Start of the second in which documentBytes_ were sent.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -40,10 +40,11 @@
 constexpr size_t kMaxSharedDocumentBytes = 8UL << 10;
 /// Larger encoded configurations that a host sends per second. Hosts that get no answer ask others.
 constexpr size_t kMaxDocumentBytesPerSecond = 256UL << 10;
+/// A host reads a newer configuration from the store if no peer has sent it in this time. A large
+/// change is read at once, because peers send it to some hosts only.
+constexpr Duration kPeerConfigurationTime = Milliseconds(150);
 /// Interval between requests for a newer configuration.
 constexpr Duration kConfigurationRequestInterval = Milliseconds(200);
-/// A host reads a newer configuration from the store if no peer has sent it in this time.
-constexpr Duration kPeerConfigurationTime = Milliseconds(150);
 
 } // namespace
 
@@ -225,6 +226,7 @@
   view.set_registry_age_ms(ToWireMs(now - registry_.FreshAt()));
   view.set_configuration_version(document_.Version());
   view.set_configuration_age_ms(ToWireMs(now - configurationFreshAt_));
+  view.set_configuration_large(SharedChange() == nullptr);
   if (aConfiguration != nullptr) {
     *view.mutable_configuration() = *aConfiguration;
   }
@@ -303,7 +305,8 @@
       Send(host, std::move(envelope));
     }
   }
-  if (aNow - newerKnownSince_ >= kPeerConfigurationTime && aNow >= nextConfigurationRead_) {
+  const Duration wait = isNewerLarge_ ? Duration(0) : kPeerConfigurationTime;
+  if (aNow >= std::max(nextConfigurationRead_, newerKnownSince_ + wait)) {
     ReadConfiguration();
   }
 }
@@ -497,6 +500,7 @@
     ActivateFromPeer(view.configuration_version(), view.configuration(), host);
   if (view.configuration_version() > document_.Version()) {
     newerConfigurationPeer_ = host;
+    isNewerLarge_ = view.configuration_large();
     RecordNewerConfiguration(view.configuration_version(), host, now);
     FetchConfiguration(now);
   } else if (view.configuration_version() == document_.Version() && document_.Version() != 0) {
