Fleet: read the request limit of upstreams and show it in logs, state and metrics

No code read the header that names its limit, so that neither a limit nor its loss showed anywhere.

A later response without the header ends the limit, an older one does not. Limits are not kept yet.

--- a/packages/ctl/src/log_timeline.cpp
+++ b/packages/ctl/src/log_timeline.cpp
@@ -124,7 +124,8 @@
   bool Explains(const LogLine& aLine) const
   {
     static const std::set<std::string, std::less<>> kOfUpstreams = {
-      "upstream_suspected", "upstream_cleared", "upstream_changed", "upstream_removed"
+      "upstream_suspected",   "upstream_cleared", "upstream_limited",
+      "upstream_limit_ended", "upstream_changed", "upstream_removed"
     };
     static const std::set<std::string, std::less<>> kOfHosts = { "started",
                                                                  "ready",
@@ -142,7 +143,8 @@
     }
     if (kOfUpstreams.contains(aLine.event)) {
       // Each host logs what it hears of the registry; one host's lines are enough.
-      const bool isShared = aLine.event.starts_with("upstream_c") || hosts.contains(aLine.host);
+      const bool isShared = aLine.event.starts_with("upstream_c") ||
+                            aLine.event.starts_with("upstream_limit") || hosts.contains(aLine.host);
       return isShared && upstreams.contains(Get(aLine, "upstream")) &&
              (aLine.event != "upstream_changed" || hosts.contains(aLine.host));
     }
--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -129,6 +129,9 @@
   bool isMisdirected = false; ///< The response is from another upstream at this address.
   bool isSigned = false;      ///< The upstream itself sent the response, not an intermediary.
   std::string requestId;      ///< Id of the request as returned by the upstream; may be empty.
+  /// Requests per second that the upstream accepts from all hosts together.
+  std::optional<double> requestLimit;
+  std::string invalidLimit; ///< A limit that cannot be read; empty: none.
 };
 
 /// Encoding of the metadata in the header fields of callers and upstreams.
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -138,9 +138,9 @@
     });
 }
 
-void FleetControl::Release(uint64_t aSequence, placement::Outcome aOutcome, Duration aLatency)
+void FleetControl::Release(uint64_t aSequence, const SlotReport& aReport)
 {
-  loop_.Post([=, this] { slots_->Release(aSequence, aOutcome, aLatency); });
+  loop_.Post([=, this] { slots_->Release(aSequence, aReport); });
 }
 
 Duration FleetControl::Jitter(Duration aMax)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -63,7 +63,9 @@
   void Stop();
   /// The callback runs on the control thread.
   void Acquire(uint64_t aSequence, SlotQuery aQuery, SlotCallback aCallback);
-  void Release(uint64_t aSequence, placement::Outcome aOutcome, Duration aLatency);
+  void Release(uint64_t aSequence, const SlotReport& aReport);
+  /// Number of upstreams with a request limit in force, by service. Control thread only.
+  std::map<std::string, size_t> LimitedUpstreams() const { return slots_->LimitedUpstreams(); }
   /// Sets the source of the metrics page, which is called on the control thread. Must be set before
   /// Start().
   void SetMetrics(std::function<std::string()> aMetrics) { metrics_ = std::move(aMetrics); }
--- a/packages/fleet/src/fleet.cpp
+++ b/packages/fleet/src/fleet.cpp
@@ -81,7 +81,10 @@
   FleetShared shared;
   FleetMetrics metrics;
   FleetControl control(aInit, shared);
-  control.SetMetrics([&metrics] { return metrics.Expose(); });
+  control.SetMetrics([&] {
+    metrics.SetLimitedUpstreams(control.LimitedUpstreams());
+    return metrics.Expose();
+  });
   if (const auto error = control.Bind()) {
     return FailStart(*error);
   }
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -1,6 +1,7 @@
 #include "metrics_p.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -32,6 +33,11 @@
       .Name("boragegauge_fleet_attempts_total")
       .Help("Requests sent to upstreams by outcome")
       .Register(registry);
+  prometheus::Family<prometheus::Gauge>& limited =
+    prometheus::BuildGauge()
+      .Name("boragegauge_fleet_limited_upstreams")
+      .Help("Upstreams whose responses name a limit of requests, as far as this host knows them")
+      .Register(registry);
 };
 
 FleetMetrics::FleetMetrics()
@@ -63,6 +69,13 @@
     .Increment();
 }
 
+void FleetMetrics::SetLimitedUpstreams(const std::map<std::string, size_t>& aCounts)
+{
+  for (const auto& [service, count] : aCounts) {
+    impl_->limited.Add({ { "service", service } }).Set(static_cast<double>(count));
+  }
+}
+
 std::string FleetMetrics::Expose() const
 {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
--- a/packages/fleet/src/metrics_p.h
+++ b/packages/fleet/src/metrics_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,6 +26,8 @@
                      double aSeconds);
   /// Counts a request that was sent to an upstream.
   void RecordAttempt(std::string_view aService, placement::Outcome aOutcome);
+  /// Sets the number of upstreams that accept a limited rate of requests, by service.
+  void SetLimitedUpstreams(const std::map<std::string, size_t>& aCounts);
   /// All metrics in the text exposition format.
   std::string Expose() const;
 
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -129,7 +129,7 @@
 {
   if (hasResponded_ || aSequence != slotSequence_) {
     if (aResult.isGranted) {
-      traffic_.Control().Release(aSequence, Outcome::Cancelled, Duration(0));
+      traffic_.Control().Release(aSequence, {});
     }
     return;
   }
@@ -162,6 +162,7 @@
   }
   ++attempts_;
   sentAt_ = now;
+  namedLimit_.reset();
   UpstreamRequest request;
   request.address = upstream_.address;
   request.port = upstream_.port;
@@ -192,7 +193,8 @@
 {
   const Duration latency = Now() - sentAt_;
   if (slotSequence_ != 0) {
-    traffic_.Control().Release(std::exchange(slotSequence_, 0), aOutcome, latency);
+    traffic_.Control().Release(std::exchange(slotSequence_, 0),
+                               { aOutcome, latency, namedLimit_, answeredAt_ });
   }
   traffic_.Metrics().RecordAttempt(service_, aOutcome);
   if (aOutcome != Outcome::Good) {
@@ -265,6 +267,7 @@
 {
   const ResponseMetadata metadata =
     traffic_.Control().Dialect().readResponse(aResult.status, aResult.headers);
+  ReadLimit(metadata);
   if (metadata.isMisdirected) {
     return OnRefused(Outcome::Misdirected);
   }
@@ -290,6 +293,26 @@
   Deliver(std::move(aResult));
 }
 
+void FleetSession::ReadLimit(const ResponseMetadata& aMetadata)
+{
+  const bool isOther = !aMetadata.requestId.empty() && aMetadata.requestId != caller_.requestId;
+  if (aMetadata.isMisdirected || isOther) {
+    return;
+  }
+  answeredAt_ = Now();
+  namedLimit_ = aMetadata.requestLimit;
+  if (!aMetadata.invalidLimit.empty()) {
+    Log(LogLevel::Warning,
+        "upstream_limit_invalid",
+        { { "request_id", caller_.requestId },
+          { "upstream", upstream_.id },
+          { "service", service_ },
+          { "detail", aMetadata.invalidLimit } });
+  } else if (!namedLimit_ && aMetadata.isSigned) {
+    namedLimit_ = placement::RequestLimit::kUnlimited;
+  }
+}
+
 bool FleetSession::Retry(std::string_view aReason)
 {
   const TimePoint now = Now();
@@ -334,7 +357,7 @@
     traffic_.Client().Cancel(std::exchange(transfer_, 0));
   }
   if (slotSequence_ != 0) {
-    traffic_.Control().Release(std::exchange(slotSequence_, 0), Outcome::Cancelled, Duration(0));
+    traffic_.Control().Release(std::exchange(slotSequence_, 0), {});
   }
   Respond({}, "caller_gone");
 }
@@ -358,7 +381,7 @@
     return;
   }
   if (slotSequence_ != 0) {
-    traffic_.Control().Release(std::exchange(slotSequence_, 0), Outcome::Cancelled, Duration(0));
+    traffic_.Control().Release(std::exchange(slotSequence_, 0), {});
   }
   Log(LogLevel::Info,
       "request_failed",
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -100,6 +100,8 @@
   void Send();
   void OnResult(UpstreamResult aResult);
   void OnResponse(UpstreamResult aResult);
+  /// Notes the request limit that a response of the upstream names, for FinishAttempt().
+  void ReadLimit(const ResponseMetadata& aMetadata);
   void OnTransportFailure(const UpstreamResult& aResult);
   void OnUnreachable(const UpstreamResult& aResult);
   void OnRefused(placement::Outcome aOutcome);
@@ -127,6 +129,8 @@
   uint64_t slotSequence_ = 0; ///< Of the requested or held slot; 0: none.
   uint64_t transfer_ = 0;     ///< Running upstream request; 0: none.
   TimePoint sentAt_{};
+  std::optional<double> namedLimit_; ///< See SlotReport::requestLimit.
+  TimePoint answeredAt_{};
   RegisteredUpstream upstream_;
   std::vector<std::string> triedUpstreams_; ///< Not selected again.
   uint32_t attempts_ = 0;                   ///< Upstreams that the request was sent to.
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -254,7 +254,7 @@
         { "shard", pending.shard },
         { "peer", pending.allocatorHost },
         { "timeout_ms", init_.responseTimeout / Milliseconds(1) } });
-  SendRelease(pending.allocatorHost, aSequence, pending.shard, "", Outcome::Cancelled, Duration(0));
+  SendRelease(pending.allocatorHost, aSequence, pending.shard, "", {});
   if (++pending.timeouts < kMaxAllocatorTimeouts) {
     return RequestSlot(aSequence);
   }
@@ -294,8 +294,7 @@
     if (pending.allocatorHost == Self()) {
       shard.allocator->Release({ selfKey_, aSequence }, Outcome::Cancelled, Duration(0), now);
     } else {
-      SendRelease(
-        pending.allocatorHost, aSequence, pending.shard, "", Outcome::Cancelled, Duration(0));
+      SendRelease(pending.allocatorHost, aSequence, pending.shard, "", {});
     }
     pending.query.exclude.push_back(aUpstream);
     return PlaceLocally(aSequence);
@@ -338,15 +337,16 @@
   node.mapped().callback(std::move(result));
 }
 
-void SlotClient::Release(uint64_t aSequence, Outcome aOutcome, Duration aLatency)
+void SlotClient::Release(uint64_t aSequence, const SlotReport& aReport)
 {
   const TimePoint now = init_.now();
   if (auto node = pendingRequests_.extract(aSequence)) {
     const PendingRequest& pending = node.mapped();
     if (pending.allocatorHost == Self()) {
-      GetShard(pending.shard).allocator->Release({ selfKey_, aSequence }, aOutcome, aLatency, now);
+      GetShard(pending.shard)
+        .allocator->Release({ selfKey_, aSequence }, aReport.outcome, aReport.latency, now);
     } else {
-      SendRelease(pending.allocatorHost, aSequence, pending.shard, "", aOutcome, aLatency);
+      SendRelease(pending.allocatorHost, aSequence, pending.shard, "", aReport);
     }
     return;
   }
@@ -355,10 +355,14 @@
     return;
   }
   const HeldSlot& slot = node.mapped();
-  GetShard(slot.shard).allocator->Release({ selfKey_, aSequence }, aOutcome, aLatency, now);
+  if (aReport.requestLimit) {
+    RecordLimit(slot.shard, slot.upstream, *aReport.requestLimit, aReport.answeredAt, Self());
+  }
+  GetShard(slot.shard)
+    .allocator->Release({ selfKey_, aSequence }, aReport.outcome, aReport.latency, now);
   const std::string host = GetShard(slot.shard).allocatorHost;
   if (host != Self() && !host.empty()) {
-    SendRelease(host, aSequence, slot.shard, slot.upstream, aOutcome, aLatency);
+    SendRelease(host, aSequence, slot.shard, slot.upstream, aReport);
   }
 }
 
@@ -378,16 +382,19 @@
                              uint64_t aSequence,
                              std::string_view aShard,
                              std::string_view aUpstream,
-                             Outcome aOutcome,
-                             Duration aLatency)
+                             const SlotReport& aReport)
 {
   wire::Envelope envelope;
   wire::SlotRelease& release = *envelope.mutable_slot_release();
   release.set_sequence(aSequence);
   release.set_shard(std::string(aShard));
-  release.set_outcome(static_cast<uint32_t>(aOutcome));
-  release.set_latency_ms(ToWireMs(aLatency));
+  release.set_outcome(static_cast<uint32_t>(aReport.outcome));
+  release.set_latency_ms(ToWireMs(aReport.latency));
   release.set_upstream(std::string(aUpstream));
+  if (aReport.requestLimit) {
+    release.set_request_limit(*aReport.requestLimit);
+    release.set_answer_age_ms(ToWireMs(init_.now() - aReport.answeredAt));
+  }
   init_.send(aHost, std::move(envelope));
 }
 
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -39,6 +39,17 @@
 
 using SlotCallback = std::function<void(SlotResult)>;
 
+/// How the use of a slot ended.
+struct SlotReport
+{
+  placement::Outcome outcome = placement::Outcome::Cancelled;
+  Duration latency{ 0 }; ///< From sending the request to its response; 0: unknown.
+  /// Requests per second that the response names, or RequestLimit::kUnlimited; nothing if there was
+  /// no response of the upstream.
+  std::optional<double> requestLimit;
+  TimePoint answeredAt{}; ///< Of the response that names requestLimit.
+};
+
 struct SlotClientInit
 {
   Members* members = nullptr;
@@ -80,7 +91,7 @@
   /// released first.
   void Acquire(uint64_t aSequence, SlotQuery aQuery, SlotCallback aCallback);
   /// Returns a slot, or cancels the request for one.
-  void Release(uint64_t aSequence, placement::Outcome aOutcome, Duration aLatency);
+  void Release(uint64_t aSequence, const SlotReport& aReport);
 
   void HandleMessage(const wire::Envelope& aMessage);
   /// Applies the upstreams of the registry to the shards. Must be called when the registry has
@@ -91,6 +102,8 @@
   /// The other hosts that are the allocator of a shard or would replace it.
   std::vector<std::string> Allocators(TimePoint aNow) const;
   const SlotClientStats& Stats() const { return stats_; }
+  /// Number of upstreams with a limit in force, by service, as far as this host knows them.
+  std::map<std::string, size_t> LimitedUpstreams() const;
   std::string Describe() const; ///< One "shard=... " line for each shard, for /state.
 
 private:
@@ -100,7 +113,9 @@
     std::string allocatorHost;         ///< Host that this host asks for slots; empty: none yet.
     uint32_t queueLength = 0;          ///< As of the last response of the allocator.
     std::vector<std::string> suspects; ///< As of the last LogSuspects(), sorted.
-    TimePoint lastRequestAt{};         ///< Last request for a slot that this host served.
+    /// Host that received the response which names a limit, by upstream.
+    std::map<std::string, std::string, std::less<>> limitSources;
+    TimePoint lastRequestAt{}; ///< Last request for a slot that this host served.
   };
   /// A request of this host that waits for a slot.
   struct PendingRequest
@@ -143,8 +158,7 @@
                    uint64_t aSequence,
                    std::string_view aShard,
                    std::string_view aUpstream,
-                   placement::Outcome aOutcome,
-                   Duration aLatency);
+                   const SlotReport& aReport);
   placement::SlotRequest MakeRequest(uint64_t aSequence, const SlotQuery& aQuery) const;
   void OnAllocatorGrant(const placement::Grant& aGrant);
   void OnAllocatorRefusal(const placement::Refusal& aRefusal);
@@ -154,6 +168,12 @@
   void HandleHolding(const wire::Envelope& aMessage);
   void HandleSuspects(const wire::Suspects& aSuspects);
   void ShareSuspects(TimePoint aNow);
+  /// @param aSource Host that received the response.
+  void RecordLimit(std::string_view aShard,
+                   std::string_view aUpstream,
+                   double aPerSecond,
+                   TimePoint aAnsweredAt,
+                   std::string_view aSource);
   static void LogSuspects(std::string_view aKey, Shard& aShard);
   const std::string& Self() const { return init_.members->Self().host; }
   /// Returns the key of a host's incarnation in leases and records the name of the host.
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -88,6 +88,42 @@
   }
 }
 
+void SlotClient::RecordLimit(std::string_view aShard,
+                             std::string_view aUpstream,
+                             double aPerSecond,
+                             TimePoint aAnsweredAt,
+                             std::string_view aSource)
+{
+  Shard& shard = GetShard(aShard);
+  if (!shard.allocator->RecordLimit(aUpstream, aPerSecond, aAnsweredAt)) {
+    return;
+  }
+  const bool isLimited = aPerSecond != placement::RequestLimit::kUnlimited;
+  if (isLimited) {
+    shard.limitSources.insert_or_assign(std::string(aUpstream), std::string(aSource));
+  } else {
+    shard.limitSources.erase(std::string(aUpstream));
+  }
+  if (init_.now() - shard.lastRequestAt > kServingWindow) {
+    return; // The allocator of the shard logs it.
+  }
+  Log(LogLevel::Info,
+      isLimited ? "upstream_limited" : "upstream_limit_ended",
+      { { "upstream", aUpstream },
+        { "shard", aShard },
+        { "per_second", isLimited ? aPerSecond : 0 },
+        { "peer", aSource } });
+}
+
+std::map<std::string, size_t> SlotClient::LimitedUpstreams() const
+{
+  std::map<std::string, size_t> counts;
+  for (const auto& [key, shard] : shards_) {
+    counts[key.substr(0, key.rfind('#'))] += shard.allocator->LimitedUpstreams().size();
+  }
+  return counts;
+}
+
 void SlotClient::OnAllocatorGrant(const placement::Grant& aGrant)
 {
   if (aGrant.lease.host == selfKey_) {
@@ -154,11 +190,19 @@
   if (message.outcome() >= static_cast<uint32_t>(Outcome::Count)) {
     return;
   }
+  const TimePoint now = init_.now();
+  if (message.has_request_limit()) {
+    RecordLimit(message.shard(),
+                message.upstream(),
+                message.request_limit(),
+                now - Milliseconds(message.answer_age_ms()),
+                aMessage.sender().host());
+  }
   GetShard(message.shard())
     .allocator->Release({ HostKey(aMessage.sender()), message.sequence() },
                         static_cast<Outcome>(message.outcome()),
                         Milliseconds(message.latency_ms()),
-                        init_.now());
+                        now);
 }
 
 void SlotClient::HandleHolding(const wire::Envelope& aMessage)
@@ -183,6 +227,7 @@
 std::string SlotClient::Describe() const
 {
   std::string text;
+  const TimePoint now = init_.now();
   for (const auto& [key, shard] : shards_) {
     const placement::SlotAllocatorStats stats = shard.allocator->Stats();
     text +=
@@ -190,6 +235,14 @@
       " slots=" + std::to_string(stats.slots) + " in_flight=" + std::to_string(stats.inFlight) +
       " waiting=" + std::to_string(stats.waiting) + " suspects=" + std::to_string(stats.suspects) +
       " service_time_ms=" + std::to_string(stats.serviceTimeMs) + "\n";
+    for (const auto& [id, limit] : shard.allocator->LimitedUpstreams()) {
+      const auto source = shard.limitSources.find(id);
+      text += "limited=" + id + " shard=" + key +
+              " per_second=" + std::to_string(limit.PerSecond()) +
+              " since_ms=" + std::to_string((now - limit.Since()) / Milliseconds(1)) +
+              " named_ms=" + std::to_string((now - limit.AnsweredAt()) / Milliseconds(1)) +
+              " peer=" + (source == shard.limitSources.end() ? "" : source->second) + "\n";
+    }
   }
   return text;
 }
--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -74,7 +74,7 @@
       const uint64_t sequence = ++sequence_;
       control_->Acquire(
         sequence, query, [this, &promise, sequence, &aUpstream](const SlotResult& aSlot) {
-          control_->Release(sequence, placement::Outcome::Cancelled, Duration(0));
+          control_->Release(sequence, {});
           promise.set_value(aSlot.isGranted && aSlot.upstream.id == aUpstream);
         });
     });
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -92,9 +92,10 @@
 
   void Release(const std::string& aHost,
                uint64_t aSequence,
-               placement::Outcome aOutcome = placement::Outcome::Good)
+               placement::Outcome aOutcome = placement::Outcome::Good,
+               std::optional<double> aLimit = std::nullopt)
   {
-    hosts.at(aHost).slots->Release(aSequence, aOutcome, Milliseconds(200));
+    hosts.at(aHost).slots->Release(aSequence, { aOutcome, Milliseconds(200), aLimit, now });
     Deliver();
   }
 
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <compare>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <span>
@@ -139,6 +140,31 @@
   TimePoint lastSuccess_{};
 };
 
+/// The rate of requests that an upstream accepts from all hosts together, as its responses name it.
+class RequestLimit
+{
+public:
+  /// Rate of an upstream whose responses name no limit.
+  static constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+
+  /// Records what a response says. A response that is older than the last one is ignored.
+  /// @param aPerSecond kUnlimited if it names no limit.
+  /// @return True if the limit has changed.
+  bool Record(double aPerSecond, TimePoint aAnsweredAt);
+
+  bool IsInForce() const { return perSecond_ != kUnlimited; }
+  double PerSecond() const { return perSecond_; }
+  /// When a response first named a limit. Only valid while one is in force.
+  TimePoint Since() const { return since_; }
+  /// Time of the last response that was recorded.
+  TimePoint AnsweredAt() const { return answeredAt_; }
+
+private:
+  double perSecond_ = kUnlimited;
+  TimePoint since_{};
+  TimePoint answeredAt_{};
+};
+
 /// Retry budget over a sliding window. It limits how many requests are sent to a second upstream.
 class RetryWindow
 {
@@ -201,6 +227,13 @@
   double coverageGrants_ = 0;    ///< The part of grants_ to idle upstreams.
 };
 
+/// An upstream that accepts a limited rate of requests.
+struct LimitedUpstream
+{
+  std::string id;
+  RequestLimit limit;
+};
+
 struct SlotAllocatorInit
 {
   std::function<void(const Grant&)> onGrant = nullptr;
@@ -253,11 +286,17 @@
   /// @param aLatency Time from sending the request to its response; 0 when unknown.
   void Release(LeaseId aLease, Outcome aOutcome, Duration aLatency, TimePoint aNow);
 
+  /// Records the rate of requests that a response of an upstream names, see RequestLimit::Record().
+  /// @return True if the limit of the upstream has changed.
+  bool RecordLimit(std::string_view aUpstream, double aPerSecond, TimePoint aAnsweredAt);
+
   /// Expires leases, grants queued requests and refuses those that cannot meet their deadline. To
   /// be called periodically.
   void Tick(TimePoint aNow);
 
   SlotAllocatorStats Stats() const;
+  /// The upstreams that name a limit.
+  std::vector<LimitedUpstream> LimitedUpstreams() const;
   /// Ids of the suspected upstreams.
   std::vector<std::string> Suspects() const;
   /// Copies the suspects of the active allocator of the same upstreams, so that this one can
@@ -270,6 +309,7 @@
   {
     UpstreamSlots info;
     UpstreamHealth health;
+    RequestLimit limit{};
     uint32_t inFlight = 0;
     uint32_t trialsInFlight = 0;
     bool isOverdue = false; ///< It has not answered a request for much longer than usual.
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -718,6 +718,25 @@
   }
 }
 
+bool SlotAllocator::RecordLimit(std::string_view aUpstream,
+                                double aPerSecond,
+                                TimePoint aAnsweredAt)
+{
+  const auto found = upstreams_.find(aUpstream);
+  return found != upstreams_.end() && found->second.limit.Record(aPerSecond, aAnsweredAt);
+}
+
+std::vector<LimitedUpstream> SlotAllocator::LimitedUpstreams() const
+{
+  std::vector<LimitedUpstream> limited;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.limit.IsInForce()) {
+      limited.push_back({ id, upstream.limit });
+    }
+  }
+  return limited;
+}
+
 std::vector<std::string> SlotAllocator::Suspects() const
 {
   std::vector<std::string> suspects;
