--- a/packages/fleet/tests/slot_client_test.cpp
+++ b/packages/fleet/tests/slot_client_test.cpp
@@ -184,3 +184,160 @@
     CHECK_FALSE(ParseEnvelope(envelope.SerializeAsString()));
   }
 }
+
+namespace {
+
+constexpr double kUnlimited = placement::RequestLimit::kUnlimited;
+
+/// Requests of all hosts of a fleet, some of whose upstreams name a limit.
+class LimitedLoad
+{
+public:
+  explicit LimitedLoad(SlotFleet& aFleet)
+    : fleet_(aFleet)
+  {
+  }
+
+  /// Sends a request every 10 ms, from one host after the other. Each takes 200 ms.
+  void Run(Duration aTime)
+  {
+    for (const TimePoint end = fleet_.now + aTime; fleet_.now < end;) {
+      fleet_.Advance(Milliseconds(10));
+      auto host = std::next(fleet_.hosts.begin(),
+                            static_cast<std::ptrdiff_t>(++requests_ % fleet_.hosts.size()));
+      if (!fleet_.stopped.contains(host->first)) {
+        open_.push_back({ host->first, fleet_.Acquire(host->first, requests_ % 4 == 0) });
+      }
+      std::erase_if(open_, [this](Request& aRequest) { return HasEnded(aRequest); });
+    }
+  }
+
+  /// Most requests to an upstream in any four seconds since a time.
+  size_t MostArrivals(const std::string& aUpstream, TimePoint aSince) const
+  {
+    size_t most = 0;
+    const auto found = arrivals_.find(aUpstream);
+    const std::vector<TimePoint> none;
+    const std::vector<TimePoint>& times = found == arrivals_.end() ? none : found->second;
+    for (auto first = std::lower_bound(times.begin(), times.end(), aSince); first != times.end();
+         ++first) {
+      const auto last = std::upper_bound(first, times.end(), *first + std::chrono::seconds(4));
+      most = std::max(most, static_cast<size_t>(last - first));
+    }
+    return most;
+  }
+
+  std::map<std::string, double> limits; ///< Named in the responses, by upstream.
+
+private:
+  struct Request
+  {
+    std::string host;
+    uint64_t sequence = 0;
+    TimePoint sentAt{};
+  };
+
+  bool HasEnded(Request& aRequest)
+  {
+    if (fleet_.stopped.contains(aRequest.host)) {
+      return true;
+    }
+    const std::string upstream = fleet_.GrantedUpstream(aRequest.host, aRequest.sequence);
+    if (upstream.empty()) {
+      return fleet_.hosts.at(aRequest.host).results.contains(aRequest.sequence);
+    }
+    if (aRequest.sentAt == TimePoint{}) {
+      aRequest.sentAt = fleet_.now;
+      arrivals_[upstream].push_back(fleet_.now);
+    }
+    if (fleet_.now - aRequest.sentAt < Milliseconds(200)) {
+      return false;
+    }
+    const auto limit = limits.find(upstream);
+    fleet_.Release(aRequest.host,
+                   aRequest.sequence,
+                   Outcome::Good,
+                   limit == limits.end() ? kUnlimited : limit->second);
+    return true;
+  }
+
+  SlotFleet& fleet_;
+  std::vector<Request> open_;
+  std::map<std::string, std::vector<TimePoint>> arrivals_;
+  uint64_t requests_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("upstreams that name a limit of requests get no more than that from all hosts")
+{
+  constexpr double kPerSecond = 3;
+  constexpr size_t kAllowed = static_cast<size_t>(1.5 * 4 * kPerSecond + 5);
+  const std::string limited = "upstream0";
+  SlotFleet fleet(12, 12, 3);
+  LimitedLoad load(fleet);
+  load.Run(std::chrono::seconds(4));
+  load.limits[limited] = kPerSecond;
+  load.Run(std::chrono::seconds(1));
+  const TimePoint since = fleet.now;
+  const std::string allocator = fleet.AllocatorHost();
+  const auto isKept = [&] { return load.MostArrivals(limited, since) <= kAllowed; };
+  load.Run(std::chrono::seconds(6));
+  REQUIRE(isKept());
+  CHECK(load.MostArrivals(limited, since) >= 4);
+
+  SUBCASE("when the allocator stops")
+  {
+    fleet.stopped.insert(allocator);
+    load.Run(std::chrono::seconds(8));
+    CHECK(isKept());
+    SUBCASE("and the one that replaced it")
+    {
+      fleet.stopped.insert(fleet.AllocatorHost());
+      load.Run(std::chrono::seconds(8));
+      CHECK(isKept());
+    }
+  }
+  SUBCASE("when no host reaches another")
+  {
+    for (const auto& [from, ignored] : fleet.hosts) {
+      for (const auto& [to, other] : fleet.hosts) {
+        fleet.cutLinks.insert({ from, to });
+      }
+    }
+    load.Run(std::chrono::seconds(12));
+    CHECK(isKept());
+  }
+  SUBCASE("when half of the hosts lose the allocator and use another one")
+  {
+    size_t count = 0;
+    for (const auto& [name, host] : fleet.hosts) {
+      if (name != allocator && ++count % 2 == 0) {
+        fleet.cutLinks.insert({ name, allocator });
+        fleet.cutLinks.insert({ allocator, name });
+      }
+    }
+    load.Run(std::chrono::seconds(12));
+    CHECK(isKept());
+  }
+  SUBCASE("when all upstreams name one")
+  {
+    for (size_t i = 0; i < 12; ++i) {
+      load.limits["upstream" + std::to_string(i)] = kPerSecond;
+    }
+    load.Run(std::chrono::seconds(1));
+    const TimePoint allSince = fleet.now;
+    load.Run(std::chrono::seconds(8));
+    for (const auto& [upstream, limit] : load.limits) {
+      CHECK(load.MostArrivals(upstream, allSince) <= kAllowed);
+    }
+    SUBCASE("and an upstream that names none any more gets all that it can take")
+    {
+      load.limits.clear();
+      load.Run(std::chrono::seconds(2));
+      const TimePoint ended = fleet.now;
+      load.Run(std::chrono::seconds(5));
+      CHECK(load.MostArrivals(limited, ended) > kAllowed);
+    }
+  }
+}
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -133,6 +133,7 @@
   TimePoint now{ std::chrono::hours(1) };
   std::map<std::string, Host> hosts;
   std::set<std::string> stopped; ///< Hosts that neither receive nor send messages.
+  std::set<std::pair<std::string, std::string>> cutLinks; ///< Ordered pairs of hosts.
   size_t messages = 0;
 
 private:
@@ -154,7 +155,7 @@
     init.now = [this] { return now; };
     init.send = [this, aName](std::string_view aHost, wire::Envelope aMessage) {
       *aMessage.mutable_sender() = ToWire(hosts.at(aName).members->Self());
-      if (!stopped.contains(aName)) {
+      if (!stopped.contains(aName) && !cutLinks.contains({ aName, std::string(aHost) })) {
         network_.push_back({ std::string(aHost), std::move(aMessage) });
       }
     };
--- a/packages/placement/bench/load_model.cpp
+++ b/packages/placement/bench/load_model.cpp
@@ -23,6 +23,10 @@
 constexpr Milliseconds kFailureLatency{ 1 };
 /// Upstreams are expected to receive a request within this time while they are sound.
 constexpr std::chrono::seconds kUseWindow{ 2 };
+/// See LoadResult::maxLimitedArrivals.
+constexpr std::chrono::seconds kLimitWindow{ 4 };
+constexpr std::chrono::seconds kLimitSettleTime{ 3 };
+constexpr Milliseconds kLimitNoticeTime{ 500 };
 
 struct Request
 {
@@ -55,6 +59,11 @@
   TimePoint lastReceivedAt{}; ///< Last arrival of a request.
   TimePoint lastFailedAt{};
   std::deque<Attempt> queue;
+  bool hasLimit = false;
+  TimePoint limitNamedAt{}; ///< First response that named the limit; unset before.
+  TimePoint limitEndedAt{}; ///< First response after it without a limit; unset before.
+  std::deque<TimePoint> limitedArrivals{};
+  size_t arrivalsAfterLimit = 0;
 };
 
 class Simulation
@@ -77,6 +86,7 @@
       upstream.domain = "d" + std::to_string(i % 4);
       upstream.hasFaults = double(i) < load_.faults.upstreamShare * double(load_.upstreams);
       upstream.phase = Uniform() * load_.faults.periodSeconds;
+      upstream.hasLimit = double(i) < load_.limits.upstreamShare * double(load_.upstreams);
       slots.push_back({ upstream.id, upstream.domain, load_.slots });
       upstreams_.push_back(std::move(upstream));
     }
@@ -254,6 +264,52 @@
     return std::fmod(time, load_.faults.periodSeconds) < load_.faults.durationSeconds;
   }
 
+  bool IsLimited(const Upstream& aUpstream) const
+  {
+    const double seconds = std::chrono::duration<double>(now_ - start_).count();
+    return aUpstream.hasLimit && seconds >= load_.limits.fromSeconds &&
+           seconds < load_.limits.untilSeconds;
+  }
+
+  void RecordLimitedArrival(Upstream& aUpstream)
+  {
+    if (aUpstream.limitNamedAt == TimePoint{}) {
+      return;
+    }
+    if (!IsLimited(aUpstream)) {
+      aUpstream.arrivalsAfterLimit +=
+        now_ - aUpstream.limitEndedAt < std::chrono::seconds(1) ? 1 : 0;
+      result_.arrivalsAfterLimit =
+        std::max(result_.arrivalsAfterLimit, aUpstream.arrivalsAfterLimit);
+      return;
+    }
+    std::deque<TimePoint>& arrivals = aUpstream.limitedArrivals;
+    if (now_ - aUpstream.limitNamedAt >= kLimitNoticeTime) {
+      arrivals.push_back(now_);
+    }
+    while (!arrivals.empty() && now_ - arrivals.front() > kLimitWindow) {
+      arrivals.pop_front();
+    }
+    if (now_ - aUpstream.limitNamedAt >= kLimitSettleTime) {
+      result_.maxLimitedArrivals = std::max(result_.maxLimitedArrivals, arrivals.size());
+    }
+  }
+
+  /// Makes a response name the limit of its upstream, or none.
+  void ReportLimit(Upstream& aUpstream)
+  {
+    const bool isLimited = IsLimited(aUpstream);
+    const bool isFirst = isLimited && aUpstream.limitNamedAt == TimePoint{};
+    aUpstream.limitNamedAt = isFirst ? now_ : aUpstream.limitNamedAt;
+    const bool isLast =
+      !isLimited && aUpstream.limitNamedAt != TimePoint{} && aUpstream.limitEndedAt == TimePoint{};
+    aUpstream.limitEndedAt = isLast ? now_ : aUpstream.limitEndedAt;
+    const double limit = isLimited ? load_.limits.perSecond : RequestLimit::kUnlimited;
+    ScheduleAfter(load_.messageDelay, [this, id = aUpstream.id, limit, answeredAt = now_] {
+      allocator_.RecordLimit(id, limit, answeredAt);
+    });
+  }
+
   void Send(const RequestPtr& aRequest, size_t aIndex, uint64_t aLease)
   {
     if (aRequest->isDone) {
@@ -264,6 +320,7 @@
     Upstream& upstream = upstreams_[aIndex];
     ++localInFlight_[aRequest->host][aIndex];
     upstream.lastReceivedAt = now_;
+    RecordLimitedArrival(upstream);
     const Attempt attempt{ aLease, aRequest, now_ };
     if (IsFaulty(upstream) && Uniform() < load_.faults.refuseShare) {
       return ScheduleAfter(kFailureLatency, [this, attempt, aIndex] {
@@ -314,6 +371,7 @@
     const bool isLate = now_ > request->deadline;
     const Outcome observed = isLate ? Outcome::TimedOut : aOutcome;
     if (policy_ == Policy::Allocator) {
+      ReportLimit(upstreams_[aIndex]);
       const Duration latency = now_ - aAttempt.sentAt;
       ScheduleAfter(load_.messageDelay, [this, aAttempt, observed, latency] {
         allocator_.Release({ aAttempt.request->host, aAttempt.lease }, observed, latency, now_);
--- a/packages/placement/bench/load_model.h
+++ b/packages/placement/bench/load_model.h
@@ -32,6 +32,15 @@
   double slowFactor = 1;  ///< Factor on the service time during a fault.
 };
 
+/// Upstreams that accept a limited rate of requests and name it in their responses.
+struct RequestLimits
+{
+  double upstreamShare = 0; ///< Share of the upstreams that name a limit.
+  double perSecond = 1;
+  double fromSeconds = 4;
+  double untilSeconds = 24;
+};
+
 struct Load
 {
   size_t hosts = 48;
@@ -45,6 +54,7 @@
   double tailShare = 0.01;       ///< Share of requests that take three times as long.
   double errorShare = 0.012;     ///< Share of requests that fail outside of faults.
   Faults faults;
+  RequestLimits limits;
   Milliseconds latencyTarget{ 600 };
   Milliseconds deadline{ 2000 };
   Milliseconds messageDelay{ 1 }; ///< One way, between a host and the allocator.
@@ -75,6 +85,11 @@
   /// times after the first six seconds. An upstream is sound from two seconds after a failure on;
   /// those that were sound for the whole two seconds count.
   double minUsedShare = 1;
+  /// Most requests that an upstream with a limit received within four seconds, from three seconds
+  /// after it first named the limit on. Those of the first half second do not count.
+  size_t maxLimitedArrivals = 0;
+  /// Most requests that an upstream received within a second after the end of its limit.
+  size_t arrivalsAfterLimit = 0;
 
   ClassResult Total() const;
 };
--- a/packages/placement/tests/load_test.cpp
+++ b/packages/placement/tests/load_test.cpp
@@ -153,3 +153,49 @@
   CHECK(other.failed * 20 < other.requests);
   CHECK(other.OnTargetShare() > 0.9);
 }
+
+TEST_CASE("upstreams that name a limit of requests get no more than that")
+{
+  constexpr double kWindowSeconds = 4;
+  constexpr double kTolerance = 1.5;
+  constexpr double kToleratedRequests = 5;
+  Load load = MakeLoad(0.4);
+  const auto allowed = [&load] {
+    return kTolerance * kWindowSeconds * load.limits.perSecond + kToleratedRequests;
+  };
+  SUBCASE("when others have capacity")
+  {
+    load.limits.upstreamShare = 0.1;
+    for (const double perSecond : { 0.0, 0.1, 1.0, 2.6, 6.0 }) {
+      CAPTURE(perSecond);
+      load.limits.perSecond = perSecond;
+      const LoadResult result = Simulate(load, Policy::Allocator);
+      CHECK(result.maxLimitedArrivals <= allowed());
+      CHECK(result.Total().ServedShare() > 0.97);
+    }
+  }
+  SUBCASE("when all others fail now and then")
+  {
+    load.limits.upstreamShare = 0.1;
+    load.faults.upstreamShare = 1;
+    for (const double idempotentShare : { 0.0, 0.22, 1.0 }) {
+      CAPTURE(idempotentShare);
+      load.idempotentShare = idempotentShare;
+      CHECK(Simulate(load, Policy::Allocator).maxLimitedArrivals <= allowed());
+    }
+  }
+  SUBCASE("when all of them name one, and the excess is refused early")
+  {
+    load.limits.upstreamShare = 1;
+    load.limits.perSecond = 2;
+    const LoadResult result = Simulate(load, Policy::Allocator);
+    CHECK(result.maxLimitedArrivals <= allowed());
+    // They accept 66 requests/s of 180 during 20 of 32 seconds.
+    CHECK(result.Total().ServedShare() > 0.55);
+    CHECK(result.Total().failed < result.Total().requests / 20);
+    SUBCASE("and all of their capacity is used again when it ends")
+    {
+      CHECK(result.arrivalsAfterLimit > 2 * load.limits.perSecond);
+    }
+  }
+}
