Placement: upstreams get no more requests than the limit that they name

The allocator keeps a token bucket for each limited upstream and takes every grant from it: ordinary requests, retries, trials, coverage. The queue, early refusals and Retry-After count on the slots that the limits leave. Limits and counts reach the successor, a second allocator, the hosts and a new allocator; hosts that most others do not reach share half of a limit by turns. An upstream with another start time has none; one whose entry expired for a while keeps its own.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -389,7 +389,11 @@
     return;
   }
   if (hello.wants_view()) {
-    AnswerHello(aMessage);
+    return AnswerHello(aMessage);
+  }
+  if (hello.known().empty()) {
+    members_->RecordClient(aMessage.sender().host(),
+                           Now()); // The hello of a host to its allocators.
   }
 }
 
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -100,6 +100,22 @@
   return found == members_.end() ? nullptr : &found->second.member;
 }
 
+void Members::RecordClient(std::string_view aHost, TimePoint aNow)
+{
+  if (const auto found = members_.find(aHost); found != members_.end()) {
+    found->second.lastClientAt = aNow;
+  }
+}
+
+size_t Members::CountClients(Duration aPeriod, TimePoint aNow) const
+{
+  return 1 + static_cast<size_t>(
+               std::count_if(members_.begin(), members_.end(), [&](const auto& aEntry) {
+                 return aNow - aEntry.second.lastClientAt <= aPeriod &&
+                        aEntry.first != init_.self.host;
+               }));
+}
+
 std::vector<Member> Members::All() const
 {
   std::vector<Member> all;
--- a/packages/fleet/src/members_p.h
+++ b/packages/fleet/src/members_p.h
@@ -48,6 +48,10 @@
   const Member& Self() const { return init_.self; }
   /// Number of hosts, including this one.
   size_t Count() const { return members_.size(); }
+  /// Records that the member uses this host as an allocator, or would if the one before it stopped.
+  void RecordClient(std::string_view aHost, TimePoint aNow);
+  /// Number of such hosts within aPeriod, including this one.
+  size_t CountClients(Duration aPeriod, TimePoint aNow) const;
   std::vector<Member> All() const;
   /// Digest of the names and addresses of all members, independent of their order.
   uint64_t Digest() const { return digest_; }
@@ -61,6 +65,7 @@
   {
     Member member;
     TimePoint lastMessageAt{};
+    TimePoint lastClientAt{};    ///< See RecordClient().
     bool hasSentMessage = false; ///< Since it joined or announced its stop.
     TimePoint suspectUntil{};    ///< Not used as an allocator until then.
     Duration suspectPeriod{ 0 };
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -16,6 +16,9 @@
 /// not grow with the service. The requests of the other hosts even out the load of the shards.
 constexpr size_t kShardsPerHost = 8;
 
+/// The limit of an upstream whose entry has expired is kept for this long.
+constexpr Duration kKnownLimitPeriod = std::chrono::seconds(60);
+
 std::string ShardKey(std::string_view aService, size_t aShard)
 {
   return std::string(aService) + '#' + std::to_string(aShard);
@@ -43,11 +46,11 @@
     return found->second;
   }
   placement::SlotAllocatorInit init;
-  init.onGrant = [this](const placement::Grant& aGrant) { OnAllocatorGrant(aGrant); };
+  const std::string key(aKey);
+  init.onGrant = [this, key](const placement::Grant& aGrant) { OnAllocatorGrant(key, aGrant); };
   init.onRefusal = [this](const placement::Refusal& aRefusal) { OnAllocatorRefusal(aRefusal); };
   init.retries = init_.retries;
   init.seed = Hash64(aKey, selfKey_);
-  const std::string key(aKey);
   Shard& shard = shards_[key];
   shard.allocator = std::make_unique<placement::SlotAllocator>(std::move(init));
   FillShards({ &key, 1 }, init_.now());
@@ -75,6 +78,10 @@
     shardCounts_ = std::move(shardCounts);
     SelectUsedShards();
   }
+  std::erase_if(limits_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.answeredAt > kKnownLimitPeriod &&
+           init_.registry->Find(aEntry.first) == nullptr;
+  });
   std::vector<std::string> keys;
   for (const auto& [key, shard] : shards_) {
     keys.push_back(key);
@@ -130,8 +137,14 @@
   }
   for (const auto& [key, upstreams] : slots) {
     const auto count = shardCounts_.find(std::string(key.substr(0, key.rfind('#'))));
-    shards_.find(key)->second.allocator->SetUpstreams(
-      upstreams, aNow, count == shardCounts_.end() ? 1 : count->second);
+    placement::SlotAllocator& allocator = *shards_.find(key)->second.allocator;
+    allocator.SetUpstreams(upstreams, aNow, count == shardCounts_.end() ? 1 : count->second);
+    for (const placement::UpstreamSlots& upstream : upstreams) {
+      const auto limit = limits_.find(upstream.id);
+      if (limit != limits_.end() && limit->second.startedAtMs == upstream.incarnation) {
+        allocator.RecordLimit(upstream.id, limit->second.perSecond, limit->second.answeredAt);
+      }
+    }
   }
 }
 
@@ -204,12 +217,15 @@
         SendHolding(host, sequence, slot);
       }
     }
+    if (host != Self()) {
+      ReportLimits(host, pending.shard);
+    }
     shard.allocatorHost = host;
   }
   pending.allocatorHost = host;
   if (host == Self()) {
     pending.timer.reset();
-    shard.lastRequestAt = now;
+    RecordServing(shard, now);
     shard.allocator->Request(MakeRequest(aSequence, pending.query), now);
     return;
   }
@@ -272,7 +288,8 @@
   ++stats_.localFallbacks;
   pending.allocatorHost.clear();
   const std::string upstream =
-    GetShard(pending.shard).allocator->PickUpstream(MakeRequest(aSequence, pending.query), now);
+    GetShard(pending.shard)
+      .allocator->PickUpstream(MakeRequest(aSequence, pending.query), init_.members->Count(), now);
   if (upstream.empty()) {
     return OnRefused(aSequence, "no_upstream", std::chrono::seconds(1));
   }
@@ -411,6 +428,8 @@
       return HandleHolding(aMessage);
     case wire::Envelope::kSuspects:
       return HandleSuspects(aMessage.suspects());
+    case wire::Envelope::kLimits:
+      return HandleLimits(aMessage.limits());
     default:
       return;
   }
@@ -418,6 +437,7 @@
 
 void SlotClient::HandleAnswer(const wire::SlotAnswer& aAnswer)
 {
+  HandleLimits(aAnswer.limits());
   const uint64_t sequence = aAnswer.sequence();
   const auto found = pendingRequests_.find(sequence);
   if (found == pendingRequests_.end()) {
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -113,8 +113,7 @@
     std::string allocatorHost;         ///< Host that this host asks for slots; empty: none yet.
     uint32_t queueLength = 0;          ///< As of the last response of the allocator.
     std::vector<std::string> suspects; ///< As of the last LogSuspects(), sorted.
-    /// Host that received the response which names a limit, by upstream.
-    std::map<std::string, std::string, std::less<>> limitSources;
+    std::unordered_map<uint64_t, TimePoint> limitsSentAt; ///< With answers, by HostKey().
     TimePoint lastRequestAt{}; ///< Last request for a slot that this host served.
   };
   /// A request of this host that waits for a slot.
@@ -129,6 +128,15 @@
     bool isQueued = false;
     std::shared_ptr<void> timer;
   };
+  /// A limit that an upstream has named. It is kept when the upstream moves to another shard or its
+  /// entry in the store expires for a while.
+  struct KnownLimit
+  {
+    int64_t startedAtMs = 0; ///< Of the upstream.
+    double perSecond = placement::RequestLimit::kUnlimited;
+    TimePoint answeredAt{};
+    std::string source; ///< Host that received the response.
+  };
   /// A slot that a request of this host uses.
   struct HeldSlot
   {
@@ -160,7 +168,7 @@
                    std::string_view aUpstream,
                    const SlotReport& aReport);
   placement::SlotRequest MakeRequest(uint64_t aSequence, const SlotQuery& aQuery) const;
-  void OnAllocatorGrant(const placement::Grant& aGrant);
+  void OnAllocatorGrant(std::string_view aShard, const placement::Grant& aGrant);
   void OnAllocatorRefusal(const placement::Refusal& aRefusal);
   void HandleRequest(const wire::Envelope& aMessage);
   void HandleAnswer(const wire::SlotAnswer& aAnswer);
@@ -174,6 +182,23 @@
                    double aPerSecond,
                    TimePoint aAnsweredAt,
                    std::string_view aSource);
+  /// Tells the allocator of a shard how many hosts reach this one.
+  void UpdateReach(Shard& aShard, TimePoint aNow);
+  /// Records that this host serves a request for a slot of the shard.
+  void RecordServing(Shard& aShard, TimePoint aNow);
+  void ShareLimits(std::string_view aShard,
+                   placement::SlotAllocator& aAllocator,
+                   std::span<const std::string> aHosts);
+  /// Adds the limits of the upstreams of a shard to an answer, if the host has not got them
+  /// recently.
+  void AddLimits(std::string_view aShard, uint64_t aHostKey, wire::SlotAnswer& aAnswer);
+  /// Tells a new allocator of a shard the limits that this host knows.
+  void ReportLimits(std::string_view aHost, std::string_view aShard);
+  /// Encodes the limits of a shard. @param aWithSends For other allocators.
+  wire::Limits EncodeLimits(std::string_view aShard,
+                            std::span<const placement::LimitedUpstream> aUpstreams,
+                            bool aWithSends) const;
+  void HandleLimits(const wire::Limits& aMessage);
   static void LogSuspects(std::string_view aKey, Shard& aShard);
   const std::string& Self() const { return init_.members->Self().host; }
   /// Returns the key of a host's incarnation in leases and records the name of the host.
@@ -190,6 +215,7 @@
   std::unordered_map<uint64_t, HeldSlot> heldSlots_;
   std::unordered_map<uint64_t, std::string> hostNames_;          ///< By HostKey().
   std::map<std::string, TimePoint, std::less<>> sharedSuspects_; ///< Expiry by upstream.
+  std::map<std::string, KnownLimit, std::less<>> limits_;        ///< By upstream.
   TimePoint nextSuspectsShare_{};
   uint64_t roundRobin_ = 0; ///< Position for SelectShard().
   SlotClientStats stats_;
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -15,6 +15,13 @@
 /// the suspects of the shard, and keeps its own when other hosts share theirs.
 constexpr Duration kServingWindow = std::chrono::seconds(1);
 
+/// An older limit is not reported to a new allocator: it may have ended at other hosts.
+constexpr Duration kMaxReportedAge = std::chrono::seconds(10);
+/// Between two answers to a host that carry the limits of upstreams.
+constexpr Duration kLimitsInterval = std::chrono::seconds(1);
+/// Hosts send a hello to their allocators every three seconds.
+constexpr Duration kClientPeriod = std::chrono::seconds(4);
+
 } // namespace
 
 bool SlotClient::IsSharedSuspect(std::string_view aUpstream, TimePoint aNow) const
@@ -23,6 +30,19 @@
   return found != sharedSuspects_.end() && found->second > aNow;
 }
 
+void SlotClient::UpdateReach(Shard& aShard, TimePoint aNow)
+{
+  aShard.allocator->SetReach(init_.members->CountClients(kClientPeriod, aNow),
+                             init_.members->Count());
+}
+
+void SlotClient::RecordServing(Shard& aShard, TimePoint aNow)
+{
+  if (aNow - std::exchange(aShard.lastRequestAt, aNow) > kServingWindow) {
+    UpdateReach(aShard, aNow);
+  }
+}
+
 /// Logs each upstream that has become a suspect or is no longer one since the last call.
 void SlotClient::LogSuspects(std::string_view aKey, Shard& aShard)
 {
@@ -59,6 +79,7 @@
     if (aNow - shard.lastRequestAt > kServingWindow) {
       continue;
     }
+    UpdateReach(shard, aNow);
     wire::Envelope envelope;
     wire::Suspects& suspects = *envelope.mutable_suspects();
     suspects.set_shard(key);
@@ -70,6 +91,88 @@
     for (const std::string& host : successors) {
       init_.send(host, envelope);
     }
+    ShareLimits(key, *shard.allocator, successors);
+  }
+}
+
+wire::Limits SlotClient::EncodeLimits(std::string_view aShard,
+                                      std::span<const placement::LimitedUpstream> aUpstreams,
+                                      bool aWithSends) const
+{
+  wire::Limits limits;
+  limits.set_shard(std::string(aShard));
+  for (const placement::LimitedUpstream& upstream : aUpstreams) {
+    wire::UpstreamLimit& limit = *limits.add_limits();
+    limit.set_upstream(upstream.id);
+    limit.set_per_second(upstream.limit.PerSecond());
+    limit.set_answer_age_ms(ToWireMs(init_.now() - upstream.limit.AnsweredAt()));
+    limit.set_sends(aWithSends ? upstream.sends : 0);
+    if (const auto known = limits_.find(upstream.id); known != limits_.end()) {
+      limit.set_started_at_ms(known->second.startedAtMs);
+      limit.set_source(known->second.source);
+    }
+  }
+  return limits;
+}
+
+void SlotClient::ShareLimits(std::string_view aShard,
+                             placement::SlotAllocator& aAllocator,
+                             std::span<const std::string> aHosts)
+{
+  const std::vector<placement::LimitedUpstream> limited = aAllocator.TakeLimitedUpstreams();
+  if (limited.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_limits() = EncodeLimits(aShard, limited, true);
+  for (const std::string& host : aHosts) {
+    init_.send(host, envelope);
+  }
+}
+
+void SlotClient::ReportLimits(std::string_view aHost, std::string_view aShard)
+{
+  auto limited = GetShard(aShard).allocator->LimitedUpstreams();
+  std::erase_if(limited, [now = init_.now()](const placement::LimitedUpstream& aUpstream) {
+    return now - aUpstream.limit.AnsweredAt() > kMaxReportedAge;
+  });
+  if (!limited.empty()) {
+    wire::Envelope envelope;
+    *envelope.mutable_limits() = EncodeLimits(aShard, limited, false);
+    init_.send(aHost, std::move(envelope));
+  }
+}
+
+void SlotClient::AddLimits(std::string_view aShard, uint64_t aHostKey, wire::SlotAnswer& aAnswer)
+{
+  Shard& shard = GetShard(aShard);
+  const auto limited = shard.allocator->LimitedUpstreams();
+  if (limited.empty()) {
+    shard.limitsSentAt.clear();
+    return;
+  }
+  const TimePoint now = init_.now();
+  TimePoint& sentAt = shard.limitsSentAt[aHostKey];
+  if (now - sentAt >= kLimitsInterval) {
+    sentAt = now;
+    *aAnswer.mutable_limits() = EncodeLimits(aShard, limited, false);
+  }
+}
+
+void SlotClient::HandleLimits(const wire::Limits& aMessage)
+{
+  const TimePoint now = init_.now();
+  for (const wire::UpstreamLimit& limit : aMessage.limits()) {
+    const RegisteredUpstream* upstream = init_.registry->Find(limit.upstream());
+    if (upstream == nullptr || upstream->startedAtMs != limit.started_at_ms()) {
+      continue;
+    }
+    RecordLimit(aMessage.shard(),
+                limit.upstream(),
+                limit.per_second(),
+                now - Milliseconds(limit.answer_age_ms()),
+                limit.source());
+    GetShard(aMessage.shard()).allocator->RecordSends(limit.upstream(), limit.sends(), now);
   }
 }
 
@@ -95,15 +198,18 @@
                              std::string_view aSource)
 {
   Shard& shard = GetShard(aShard);
+  const RegisteredUpstream* upstream = init_.registry->Find(aUpstream);
+  const bool isLimited = aPerSecond != placement::RequestLimit::kUnlimited;
+  const auto known = limits_.find(aUpstream);
+  const bool isNewer = known == limits_.end() || known->second.answeredAt <= aAnsweredAt;
+  if (upstream != nullptr && isNewer && (isLimited || known != limits_.end())) {
+    limits_.insert_or_assign(
+      std::string(aUpstream),
+      KnownLimit{ upstream->startedAtMs, aPerSecond, aAnsweredAt, std::string(aSource) });
+  }
   if (!shard.allocator->RecordLimit(aUpstream, aPerSecond, aAnsweredAt)) {
     return;
   }
-  const bool isLimited = aPerSecond != placement::RequestLimit::kUnlimited;
-  if (isLimited) {
-    shard.limitSources.insert_or_assign(std::string(aUpstream), std::string(aSource));
-  } else {
-    shard.limitSources.erase(std::string(aUpstream));
-  }
   if (init_.now() - shard.lastRequestAt > kServingWindow) {
     return; // The allocator of the shard logs it.
   }
@@ -124,7 +230,7 @@
   return counts;
 }
 
-void SlotClient::OnAllocatorGrant(const placement::Grant& aGrant)
+void SlotClient::OnAllocatorGrant(std::string_view aShard, const placement::Grant& aGrant)
 {
   if (aGrant.lease.host == selfKey_) {
     return OnGranted(aGrant.lease.sequence, aGrant.upstream);
@@ -134,6 +240,7 @@
   answer.set_sequence(aGrant.lease.sequence);
   answer.set_kind(wire::SlotAnswer::GRANTED);
   answer.set_upstream(aGrant.upstream);
+  AddLimits(aShard, aGrant.lease.host, answer);
   init_.send(hostNames_[aGrant.lease.host], std::move(envelope));
 }
 
@@ -172,7 +279,8 @@
   request.deadline = now + Milliseconds(message.left_ms());
   request.exclude.assign(message.exclude().begin(), message.exclude().end());
   Shard& shard = GetShard(message.shard());
-  shard.lastRequestAt = now;
+  init_.members->RecordClient(aMessage.sender().host(), now);
+  RecordServing(shard, now);
   if (shard.allocator->Request(request, now)) {
     return;
   }
@@ -235,13 +343,13 @@
       " slots=" + std::to_string(stats.slots) + " in_flight=" + std::to_string(stats.inFlight) +
       " waiting=" + std::to_string(stats.waiting) + " suspects=" + std::to_string(stats.suspects) +
       " service_time_ms=" + std::to_string(stats.serviceTimeMs) + "\n";
-    for (const auto& [id, limit] : shard.allocator->LimitedUpstreams()) {
-      const auto source = shard.limitSources.find(id);
+    for (const auto& [id, limit, sends] : shard.allocator->LimitedUpstreams()) {
+      const auto known = limits_.find(id);
       text += "limited=" + id + " shard=" + key +
               " per_second=" + std::to_string(limit.PerSecond()) +
               " since_ms=" + std::to_string((now - limit.Since()) / Milliseconds(1)) +
               " named_ms=" + std::to_string((now - limit.AnsweredAt()) / Milliseconds(1)) +
-              " peer=" + (source == shard.limitSources.end() ? "" : source->second) + "\n";
+              " peer=" + (known == limits_.end() ? "" : known->second.source) + "\n";
     }
   }
   return text;
--- a/packages/fleet/tests/slot_client_test.cpp
+++ b/packages/fleet/tests/slot_client_test.cpp
@@ -273,71 +273,115 @@
 {
   constexpr double kPerSecond = 3;
   constexpr size_t kAllowed = static_cast<size_t>(1.5 * 4 * kPerSecond + 5);
-  const std::string limited = "upstream0";
-  SlotFleet fleet(12, 12, 3);
+  constexpr size_t kUpstreams = 12;
+  SlotFleet fleet(12, kUpstreams, 3);
   LimitedLoad load(fleet);
-  load.Run(std::chrono::seconds(4));
-  load.limits[limited] = kPerSecond;
-  load.Run(std::chrono::seconds(1));
-  const TimePoint since = fleet.now;
-  const std::string allocator = fleet.AllocatorHost();
-  const auto isKept = [&] { return load.MostArrivals(limited, since) <= kAllowed; };
-  load.Run(std::chrono::seconds(6));
-  REQUIRE(isKept());
-  CHECK(load.MostArrivals(limited, since) >= 4);
+  load.Run(std::chrono::seconds(2));
 
-  SUBCASE("when the allocator stops")
+  SUBCASE("of which there is one")
   {
-    fleet.stopped.insert(allocator);
+    load.limits["upstream0"] = kPerSecond;
+    load.Run(std::chrono::seconds(1));
+    const TimePoint since = fleet.now;
     load.Run(std::chrono::seconds(8));
-    CHECK(isKept());
-    SUBCASE("and the one that replaced it")
-    {
-      fleet.stopped.insert(fleet.AllocatorHost());
-      load.Run(std::chrono::seconds(8));
-      CHECK(isKept());
-    }
+    CHECK(load.MostArrivals("upstream0", since) <= kAllowed);
+    CHECK(load.MostArrivals("upstream0", since) >= 4);
+    CHECK(load.MostArrivals("upstream1", since) > kAllowed);
   }
-  SUBCASE("when no host reaches another")
+  SUBCASE("although there are requests for three times as many")
   {
-    for (const auto& [from, ignored] : fleet.hosts) {
-      for (const auto& [to, other] : fleet.hosts) {
-        fleet.cutLinks.insert({ from, to });
+    for (size_t i = 0; i < kUpstreams; ++i) {
+      load.limits["upstream" + std::to_string(i)] = kPerSecond;
+    }
+    load.Run(std::chrono::seconds(1));
+    const TimePoint since = fleet.now;
+    const std::string allocator = fleet.AllocatorHost();
+    const auto most = [&] {
+      size_t arrivals = 0;
+      for (const auto& [upstream, limit] : load.limits) {
+        arrivals = std::max(arrivals, load.MostArrivals(upstream, since));
+      }
+      return arrivals;
+    };
+    load.Run(std::chrono::seconds(6));
+    CHECK(most() <= kAllowed);
+    CHECK(most() >= 4 * kPerSecond - 2);
+
+    SUBCASE("when the allocator and its successor stop")
+    {
+      const std::vector<std::string> ranked =
+        fleet.hosts.begin()->second.members->Allocators("desk#0", 3, fleet.now);
+      SUBCASE("") {}
+      SUBCASE("and the next one has just started")
+      {
+        fleet.Restart(ranked[2]);
+        CHECK(fleet.hosts.at(ranked[2]).slots->LimitedUpstreams().at("desk") == 0);
       }
+      fleet.stopped = { ranked[0], ranked[1] };
+      load.Run(Milliseconds(150));
+      CHECK(fleet.hosts.at(ranked[2]).slots->LimitedUpstreams().at("desk") == kUpstreams);
+      load.Run(std::chrono::seconds(8));
+      CHECK(most() <= kAllowed);
     }
-    load.Run(std::chrono::seconds(12));
-    CHECK(isKept());
-  }
-  SUBCASE("when half of the hosts lose the allocator and use another one")
-  {
-    size_t count = 0;
-    for (const auto& [name, host] : fleet.hosts) {
-      if (name != allocator && ++count % 2 == 0) {
-        fleet.cutLinks.insert({ name, allocator });
-        fleet.cutLinks.insert({ allocator, name });
+    SUBCASE("when no host reaches another")
+    {
+      for (const auto& [from, ignored] : fleet.hosts) {
+        for (const auto& [to, other] : fleet.hosts) {
+          fleet.cutLinks.insert({ from, to });
+        }
       }
+      load.Run(std::chrono::seconds(12));
+      CHECK(most() <= kAllowed);
     }
-    load.Run(std::chrono::seconds(12));
-    CHECK(isKept());
-  }
-  SUBCASE("when all upstreams name one")
-  {
-    for (size_t i = 0; i < 12; ++i) {
-      load.limits["upstream" + std::to_string(i)] = kPerSecond;
+    SUBCASE("when half of the hosts lose the allocator and use another one")
+    {
+      size_t count = 0;
+      const std::string successor =
+        fleet.hosts.begin()->second.members->Allocators("desk#0", 2, fleet.now).back();
+      for (const auto& [name, host] : fleet.hosts) {
+        if (name != allocator && name != successor && ++count % 2 == 0) {
+          fleet.cutLinks.insert({ name, allocator });
+          fleet.cutLinks.insert({ allocator, name });
+        }
+      }
+      load.Run(std::chrono::seconds(12));
+      CHECK(most() <= kAllowed);
     }
-    load.Run(std::chrono::seconds(1));
-    const TimePoint allSince = fleet.now;
-    load.Run(std::chrono::seconds(8));
-    for (const auto& [upstream, limit] : load.limits) {
-      CHECK(load.MostArrivals(upstream, allSince) <= kAllowed);
+    SUBCASE("when their entries in the store expire and come back")
+    {
+      std::vector<RegisteredUpstream> upstreams;
+      for (const auto& [id, upstream] : fleet.hosts.begin()->second.registry->Upstreams()) {
+        upstreams.push_back(upstream);
+      }
+      fleet.SetUpstreams(upstreams);
+      load.Run(
+        Milliseconds(2500)); // Entries that are missing after an outage are kept for a while.
+      fleet.SetUpstreams(std::vector<RegisteredUpstream>(upstreams.begin() + 6, upstreams.end()));
+      REQUIRE(fleet.hosts.at(allocator).slots->LimitedUpstreams().at("desk") == kUpstreams - 6);
+      load.Run(Milliseconds(300));
+      fleet.SetUpstreams(upstreams);
+      CHECK(fleet.hosts.at(allocator).slots->LimitedUpstreams().at("desk") == kUpstreams);
+      load.Run(std::chrono::seconds(6));
+      CHECK(most() <= kAllowed);
     }
-    SUBCASE("and an upstream that names none any more gets all that it can take")
+    SUBCASE("until they name none any more")
     {
       load.limits.clear();
-      load.Run(std::chrono::seconds(2));
+      load.Run(std::chrono::seconds(1));
       const TimePoint ended = fleet.now;
       load.Run(std::chrono::seconds(5));
-      CHECK(load.MostArrivals(limited, ended) > kAllowed);
+      CHECK(fleet.hosts.at(allocator).slots->LimitedUpstreams().at("desk") == 0);
+      CHECK(load.MostArrivals("upstream0", ended) > kAllowed);
+    }
+    SUBCASE("until they start again")
+    {
+      std::vector<RegisteredUpstream> upstreams;
+      for (auto [id, upstream] : fleet.hosts.begin()->second.registry->Upstreams()) {
+        upstream.startedAtMs = 7;
+        upstreams.push_back(upstream);
+      }
+      fleet.SetUpstreams(upstreams);
+      CHECK(fleet.hosts.at(allocator).slots->LimitedUpstreams().at("desk") == 0);
     }
   }
 }
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -29,9 +29,7 @@
       AddHost("host" + std::to_string(i));
     }
     for (auto& [name, host] : hosts) {
-      for (auto& [other, ignored] : hosts) {
-        host.members->Add({ other, "10.0.0.1", 7000, "a", 1, 100 });
-      }
+      AddMembers(host);
     }
     std::vector<RegisteredUpstream> upstreams;
     for (size_t i = 0; i < aUpstreams; ++i) {
@@ -47,17 +45,23 @@
   void SetUpstreams(const std::vector<RegisteredUpstream>& aUpstreams)
   {
     ++version_;
-    std::vector<EntryChange> entries;
-    entries.reserve(aUpstreams.size());
+    entries_.clear();
     for (const RegisteredUpstream& upstream : aUpstreams) {
-      entries.push_back({ upstream.id, upstream });
+      entries_.push_back({ upstream.id, upstream });
     }
     for (auto& [name, host] : hosts) {
-      host.registry->ApplySnapshot(entries, version_, now);
-      host.slots->UpdateUpstreams(now);
+      ReadUpstreams(host);
     }
   }
 
+  /// Replaces a host by one that knows the members and upstreams only.
+  void Restart(const std::string& aName)
+  {
+    AddHost(aName);
+    AddMembers(hosts.at(aName));
+    ReadUpstreams(hosts.at(aName));
+  }
+
   std::string AllocatorHost()
   {
     return hosts.begin()->second.members->Allocators("desk#0", 1, now).front();
@@ -143,9 +147,25 @@
     wire::Envelope envelope;
   };
 
+  void AddMembers(Host& aHost)
+  {
+    for (const auto& [other, ignored] : hosts) {
+      aHost.members->Add({ other, "10.0.0.1", 7000, "a", 1, 100 });
+    }
+  }
+
+  void ReadUpstreams(Host& aHost)
+  {
+    aHost.registry->ApplySnapshot(entries_, version_, now);
+    aHost.slots->UpdateUpstreams(now);
+  }
+
   void AddHost(const std::string& aName)
   {
     Host& host = hosts[aName];
+    const uint64_t sequence = host.sequence;
+    host = Host{};
+    host.sequence = sequence;
     host.members =
       std::make_unique<Members>(MembersInit{ .self = { aName, "10.0.0.1", 7000, "a", 1, 100 } });
     host.registry = std::make_unique<Registry>();
@@ -180,6 +200,7 @@
   }
 
   uint64_t version_ = 0;
+  std::vector<EntryChange> entries_;
   std::deque<Message> network_;
   std::multimap<TimePoint, std::weak_ptr<std::function<void()>>> timers_;
 };
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -140,7 +140,12 @@
   TimePoint lastSuccess_{};
 };
 
-/// The rate of requests that an upstream accepts from all hosts together, as its responses name it.
+/// The rate of requests that an upstream accepts from all hosts together, as its responses name it,
+/// and how much of it is left.
+///
+/// An allocator sends with a token bucket that holds half a second of requests. Hosts that cannot
+/// reach the others know nothing of their requests: time is divided into turns of one request each,
+/// and every group of hosts that reach each other uses a part of the turns.
 class RequestLimit
 {
 public:
@@ -159,10 +164,28 @@
   /// Time of the last response that was recorded.
   TimePoint AnsweredAt() const { return answeredAt_; }
 
+  /// Rate at which requests are sent. It is not 0, so that the end of the limit is found.
+  double SendRate() const;
+  /// Whether the allocator may send a request now.
+  bool MaySend(TimePoint aNow) const;
+  /// Records requests that were sent, whichever host sent them.
+  void RecordSends(uint32_t aCount, TimePoint aNow);
+  /// Whether a group of hosts that cannot reach the others may send a request now.
+  /// @param aHosts All hosts. @param aGroup Hosts in the group.
+  /// @param aNumber Tells the groups apart.
+  bool HasTurn(size_t aHosts, size_t aGroup, uint64_t aNumber, TimePoint aNow) const;
+
 private:
+  double BurstSize() const;
+  double TokensAt(TimePoint aNow) const;
+  int64_t TurnAt(TimePoint aNow) const;
+
   double perSecond_ = kUnlimited;
   TimePoint since_{};
   TimePoint answeredAt_{};
+  double tokens_ = 0; ///< Requests that may be sent, as of countedAt_; negative: overdrawn.
+  TimePoint countedAt_{};
+  int64_t lastTurn_ = -1; ///< Of the last request.
 };
 
 /// Retry budget over a sliding window. It limits how many requests are sent to a second upstream.
@@ -232,6 +255,7 @@
 {
   std::string id;
   RequestLimit limit;
+  uint32_t sends = 0; ///< Requests that the allocator has sent to it since TakeLimitedUpstreams().
 };
 
 struct SlotAllocatorInit
@@ -276,8 +300,9 @@
   bool Request(const SlotRequest& aRequest, TimePoint aNow);
 
   /// Picks an upstream without queueing and regardless of free slots. For hosts that cannot reach
-  /// the shared allocator. @return Id of the upstream; empty when all are excluded.
-  std::string PickUpstream(const SlotRequest& aRequest, TimePoint aNow);
+  /// the shared allocator. @return Id of the upstream; empty when all are excluded or limited.
+  /// @param aHosts Hosts that may do the same; they share the limits of upstreams.
+  std::string PickUpstream(const SlotRequest& aRequest, size_t aHosts, TimePoint aNow);
 
   /// Records a lease that was not granted by this allocator, so that its slot counts as used.
   void AddLease(const SlotRequest& aRequest, std::string_view aUpstream, TimePoint aNow);
@@ -289,6 +314,11 @@
   /// Records the rate of requests that a response of an upstream names, see RequestLimit::Record().
   /// @return True if the limit of the upstream has changed.
   bool RecordLimit(std::string_view aUpstream, double aPerSecond, TimePoint aAnsweredAt);
+  /// Sets how many of all hosts use this allocator or would, including its own host. An allocator
+  /// that less than half of them reach uses a part of the limits of upstreams.
+  void SetReach(size_t aReachable, size_t aHosts);
+  /// Counts requests that another allocator has sent against the limit of an upstream.
+  void RecordSends(std::string_view aUpstream, uint32_t aCount, TimePoint aNow);
 
   /// Expires leases, grants queued requests and refuses those that cannot meet their deadline. To
   /// be called periodically.
@@ -297,6 +327,8 @@
   SlotAllocatorStats Stats() const;
   /// The upstreams that name a limit.
   std::vector<LimitedUpstream> LimitedUpstreams() const;
+  /// The same, and resets LimitedUpstream::sends.
+  std::vector<LimitedUpstream> TakeLimitedUpstreams();
   /// Ids of the suspected upstreams.
   std::vector<std::string> Suspects() const;
   /// Copies the suspects of the active allocator of the same upstreams, so that this one can
@@ -310,6 +342,7 @@
     UpstreamSlots info;
     UpstreamHealth health;
     RequestLimit limit{};
+    uint32_t limitedSends = 0; ///< See LimitedUpstream::sends.
     uint32_t inFlight = 0;
     uint32_t trialsInFlight = 0;
     bool isOverdue = false; ///< It has not answered a request for much longer than usual.
@@ -336,6 +369,7 @@
     bool mayAwaitProof = false;    ///< Can wait until another request has proved an upstream.
     bool isProofAwaited = false;   ///< Queued requests wait for a proven upstream.
     uint32_t suspectThreshold = 0; ///< Consecutive failures of a suspect.
+    size_t unaidedHosts = 0;       ///< Hosts that place requests without the allocator; 0: it does.
     double unservedShare = 0;
     CapacityDemand demand = CapacityDemand::Normal;
   };
@@ -374,11 +408,19 @@
   CapacityDemand Demand() const;
   /// Returns true when the upstream has had no work for so long that it should be used next.
   bool IsStarved(const Upstream& aUpstream, const SelectionContext& aContext, TimePoint aNow) const;
+  /// Whether a request to the upstream would exceed its limit.
+  bool IsOverLimit(const Upstream& aUpstream,
+                   const SelectionContext& aContext,
+                   TimePoint aNow) const;
+  /// Whether this allocator is cut off from most hosts, which may use another one.
+  bool IsInMinority() const { return 2 * reachableHosts_ < hosts_; }
+  /// Slots that the limit of the upstream allows to use.
+  double UsableSlots(const Upstream& aUpstream) const;
   /// Returns true when the upstream has not succeeded recently.
   static bool IsUnproven(const Upstream& aUpstream, TimePoint aNow);
   /// Returns true when the upstream is not a suspect, or one that may have recovered by now.
   static bool MayBeHealthy(const Upstream& aUpstream, TimePoint aNow);
-  /// Returns true when the upstream may be healthy but had no work for a while.
+  /// Returns true when the upstream may be healthy and could have work, but had none for a while.
   static bool IsIdle(const Upstream& aUpstream, TimePoint aNow);
   /// Returns true when there are too few idempotent requests to reach each healthy upstream in
   /// time.
@@ -426,10 +468,14 @@
   RetryWindow retries_;
   CoverageMonitor coverage_;
   size_t shardCount_ = 1;
+  size_t reachableHosts_ = 1; ///< See SetReach().
+  size_t hosts_ = 1;
   TimePoint lastUpdate_{};
   uint32_t totalSlots_ = 0;
   bool isOverdueCommon_ = false; ///< So many upstreams are overdue that the service is slow.
-  uint32_t healthySlots_ = 0; ///< Slots of the upstreams that are no suspects, as of the last tick.
+  double usableSlots_ =
+    0; ///< Slots that the limits of the upstreams allow to use, as of the last tick.
+  double healthySlots_ = 0;     ///< The same of the upstreams that are no suspects.
   double recentIdempotent_ = 0; ///< Exponentially decaying count, as of lastIdempotentRequest_.
   size_t healthyUpstreams_ = 0; ///< Upstreams that may be healthy, as of the last update.
   TimePoint lastIdempotentRequest_{};
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -64,6 +64,11 @@
 /// which show no failure before the deadlines of the first requests.
 constexpr int kOverdueFactor = 4;
 constexpr Duration kMinOverdueTime = Milliseconds(500);
+/// Hosts that do not reach most others use one of so many turns that a limit leaves them, because
+/// an allocator of the others may use all of the limit.
+constexpr size_t kTurnsPerHost = 2;
+/// Lower bound of the slots in use by which the time until a slot is free is estimated.
+constexpr double kMinUsableSlots = 0.01;
 /// If more of the upstreams are overdue, the service is slow and all are used.
 constexpr double kMaxOverdueShare = 0.3;
 /// Below this share of healthy slots in use, the capacity of suspects is not needed.
@@ -213,12 +218,48 @@
   return aRequest.targetBy != TimePoint{} && aNow + needed > aRequest.targetBy;
 }
 
-std::string SlotAllocator::PickUpstream(const SlotRequest& aRequest, TimePoint aNow)
+std::string SlotAllocator::PickUpstream(const SlotRequest& aRequest, size_t aHosts, TimePoint aNow)
 {
-  const Selection selection = SelectUpstream(aRequest, MakeContext(aRequest, aNow), aNow, false);
+  SelectionContext context = MakeContext(aRequest, aNow);
+  context.unaidedHosts = aHosts;
+  const Selection selection = SelectUpstream(aRequest, context, aNow, false);
   return selection.upstream == nullptr ? std::string() : selection.upstream->info.id;
 }
 
+bool SlotAllocator::IsOverLimit(const Upstream& aUpstream,
+                                const SelectionContext& aContext,
+                                TimePoint aNow) const
+{
+  if (aContext.unaidedHosts == 0 && !IsInMinority()) {
+    return !aUpstream.limit.MaySend(aNow);
+  }
+  const bool isUnaided = aContext.unaidedHosts != 0;
+  return !aUpstream.limit.HasTurn(kTurnsPerHost * (isUnaided ? aContext.unaidedHosts : hosts_),
+                                  isUnaided ? 1 : reachableHosts_,
+                                  Hash64(aUpstream.info.id, init_.seed),
+                                  aNow);
+}
+
+void SlotAllocator::SetReach(size_t aReachable, size_t aHosts)
+{
+  reachableHosts_ = aReachable;
+  hosts_ = aHosts;
+}
+
+double SlotAllocator::UsableSlots(const Upstream& aUpstream) const
+{
+  const double slots = aUpstream.info.slots;
+  if (!aUpstream.limit.IsInForce()) {
+    return slots;
+  }
+  const double share = IsInMinority() ? static_cast<double>(reachableHosts_) /
+                                          static_cast<double>(kTurnsPerHost * hosts_)
+                                      : 1;
+  return std::min(slots,
+                  aUpstream.limit.SendRate() * share *
+                    std::chrono::duration<double>(serviceTime_).count());
+}
+
 void SlotAllocator::AddLease(const SlotRequest& aRequest,
                              std::string_view aUpstream,
                              TimePoint aNow)
@@ -228,6 +269,7 @@
     return;
   }
   ++found->second.inFlight;
+  found->second.limit.RecordSends(1, aNow);
   leases_.emplace(aRequest.lease,
                   Lease{ std::string(aUpstream),
                          aNow,
@@ -243,6 +285,8 @@
   Upstream& upstream = *aSelection.upstream;
   ++upstream.inFlight;
   upstream.lastGrantAt = aNow;
+  upstream.limit.RecordSends(1, aNow);
+  upstream.limitedSends += upstream.limit.IsInForce() ? 1 : 0;
   upstream.trialsInFlight += aSelection.isTrial ? 1 : 0;
   coverage_.OnGrant(aSelection.isCoverage);
   ++granted_;
@@ -267,7 +311,7 @@
 
 CapacityDemand SlotAllocator::Demand() const
 {
-  const double inUse = static_cast<double>(leases_.size()) / std::max(1U, healthySlots_);
+  const double inUse = static_cast<double>(leases_.size()) / std::max(1.0, healthySlots_);
   if (!queue_.empty()) {
     return inUse < kFullUtilization ? CapacityDemand::Normal : CapacityDemand::Waiting;
   }
@@ -333,7 +377,7 @@
 bool SlotAllocator::IsIdle(const Upstream& aUpstream, TimePoint aNow)
 {
   return MayBeHealthy(aUpstream, aNow) && aUpstream.inFlight == 0 &&
-         aNow - aUpstream.lastGrantAt > kCoverageIdleTime;
+         aUpstream.limit.MaySend(aNow) && aNow - aUpstream.lastGrantAt > kCoverageIdleTime;
 }
 
 bool SlotAllocator::AreIdempotentRequestsScarce(TimePoint aNow) const
@@ -365,9 +409,12 @@
 {
   size_t idle = 0;
   size_t healthy = 0;
+  usableSlots_ = 0;
   healthySlots_ = 0;
   for (const auto& [id, upstream] : upstreams_) {
-    healthySlots_ += upstream.health.IsSuspect() ? 0 : upstream.info.slots;
+    const double usable = UsableSlots(upstream);
+    usableSlots_ += usable;
+    healthySlots_ += upstream.health.IsSuspect() ? 0 : usable;
     healthy += MayBeHealthy(upstream, aNow) ? 1 : 0;
     idle += IsIdle(upstream, aNow) ? 1 : 0;
   }
@@ -416,7 +463,7 @@
       std::find(aRequest.exclude.begin(), aRequest.exclude.end(), id) != aRequest.exclude.end();
     const bool isFull =
       upstream.inFlight >= upstream.info.slots || upstream.health.PausedUntil() > aNow;
-    if (isExcluded || (aRequireFreeSlot && isFull)) {
+    if (isExcluded || (aRequireFreeSlot && isFull) || IsOverLimit(upstream, aContext, aNow)) {
       continue;
     }
     const bool isFailing = upstream.health.IsSuspect() &&
@@ -675,8 +722,9 @@
 
 Duration SlotAllocator::ExpectedWait(size_t aRequestsAhead) const
 {
-  const uint32_t slots = std::max(1U, totalSlots_);
-  return serviceTime_ * (aRequestsAhead + 1) / slots;
+  return std::chrono::duration_cast<Duration>(serviceTime_ *
+                                              static_cast<double>(aRequestsAhead + 1) /
+                                              std::max(usableSlots_, kMinUsableSlots));
 }
 
 TimePoint SlotAllocator::LatestStart(const SlotRequest& aRequest) const
@@ -731,12 +779,28 @@
   std::vector<LimitedUpstream> limited;
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.limit.IsInForce()) {
-      limited.push_back({ id, upstream.limit });
+      limited.push_back({ id, upstream.limit, upstream.limitedSends });
     }
   }
   return limited;
 }
 
+std::vector<LimitedUpstream> SlotAllocator::TakeLimitedUpstreams()
+{
+  std::vector<LimitedUpstream> limited = LimitedUpstreams();
+  for (auto& [id, upstream] : upstreams_) {
+    upstream.limitedSends = 0;
+  }
+  return limited;
+}
+
+void SlotAllocator::RecordSends(std::string_view aUpstream, uint32_t aCount, TimePoint aNow)
+{
+  if (const auto found = upstreams_.find(aUpstream); found != upstreams_.end()) {
+    found->second.limit.RecordSends(aCount, aNow);
+  }
+}
+
 std::vector<std::string> SlotAllocator::Suspects() const
 {
   std::vector<std::string> suspects;
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -311,7 +311,7 @@
   {
     fixture.Acquire();
     fixture.Acquire();
-    CHECK_FALSE(fixture.allocator.PickUpstream(fixture.MakeRequest(), fixture.now).empty());
+    CHECK_FALSE(fixture.allocator.PickUpstream(fixture.MakeRequest(), 1, fixture.now).empty());
   }
   SUBCASE("counts the leases that it adds itself")
   {
