Placement: Retry-After of a service without upstreams is short again

Without any slot the estimate counts one, as before: 0.2 s. The existing test of such a refusal now checks Retry-After and failed (20 s).

--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -722,9 +722,9 @@
 
 Duration SlotAllocator::ExpectedWait(size_t aRequestsAhead) const
 {
+  const double slots = totalSlots_ == 0 ? 1 : std::max(usableSlots_, kMinUsableSlots);
   return std::chrono::duration_cast<Duration>(serviceTime_ *
-                                              static_cast<double>(aRequestsAhead + 1) /
-                                              std::max(usableSlots_, kMinUsableSlots));
+                                              static_cast<double>(aRequestsAhead + 1) / slots);
 }
 
 TimePoint SlotAllocator::LatestStart(const SlotRequest& aRequest) const
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -205,6 +205,7 @@
     fixture.Acquire(request);
     REQUIRE(fixture.refused.contains(request.lease.sequence));
     CHECK(fixture.refused[request.lease.sequence].reason == "no_upstream");
+    CHECK(fixture.refused[request.lease.sequence].retryAfter <= std::chrono::seconds(1));
   }
   SUBCASE("are removed when their caller disconnects")
   {
