--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -1,6 +1,8 @@
 // The part of SlotClient that allocates the slots of the shards of this host.
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "slot_client_p.h"
 
 namespace bg::fleet::detail {
@@ -345,11 +347,14 @@
       " service_time_ms=" + std::to_string(stats.serviceTimeMs) + "\n";
     for (const auto& [id, limit, sends] : shard.allocator->LimitedUpstreams()) {
       const auto known = limits_.find(id);
-      text += "limited=" + id + " shard=" + key +
-              " per_second=" + std::to_string(limit.PerSecond()) +
-              " since_ms=" + std::to_string((now - limit.Since()) / Milliseconds(1)) +
-              " named_ms=" + std::to_string((now - limit.AnsweredAt()) / Milliseconds(1)) +
-              " peer=" + (known == limits_.end() ? "" : known->second.source) + "\n";
+      const std::string source = known == limits_.end() ? "" : known->second.source;
+      text += fmt::format("limited={} shard={} per_second={} since_ms={} named_ms={} peer={}\n",
+                          id,
+                          key,
+                          limit.PerSecond(),
+                          (now - limit.Since()) / Milliseconds(1),
+                          (now - limit.AnsweredAt()) / Milliseconds(1),
+                          source);
     }
   }
   return text;
