Fleet: a pause of the process does not wait for reads from before it

A host that was paused while its read of the configuration hung served the old configuration after the second for which requests wait: the new read waited for the old one, up to 4 s after the pause.

The pause now starts new reads of configuration and upstreams at once, and the answers of the old ones are ignored. Test: 'a read from before a pause of the process does not delay the one after it' failed before (revision 1 when the state counted as confirmed) and passes.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -184,6 +184,9 @@
     if (shared_.onResumed) {
       shared_.onResumed();
     }
+    // Reads from before the pause may return its state, or nothing.
+    isReadingConfiguration_ = false;
+    isReadingUpstreams_ = false;
     ReadConfiguration();
     ReadUpstreams();
   }
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -254,10 +254,10 @@
   isReadingUpstreams_ = true;
   const bool isIncremental = registry_.CanReadChanges(Now());
   auto callback = [this, isIncremental, requestedAt = Now()](const Result<StoreRows>& aRows) {
-    isReadingUpstreams_ = false;
     if (requestedAt < resumedAt_) {
-      return ReadUpstreams(); // The response may date from before the pause of the process.
+      return; // RevalidateAfterPause() has started another read.
     }
+    isReadingUpstreams_ = false;
     if (isIncremental && !aRows && aRows.Failure().code == make_error_code(Errc::NotFound)) {
       registry_.RequireFullRead(); // The store no longer has the changes since that version.
       return ReadUpstreams();
@@ -354,10 +354,10 @@
     platform_.configurationTable,
     kConfigurationDeadline,
     [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
-      isReadingConfiguration_ = false;
       if (requestedAt < resumedAt_) {
-        return ReadConfiguration();
+        return; // RevalidateAfterPause() has started another read.
       }
+      isReadingConfiguration_ = false;
       RecordStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
       if (!aRows) {
         nextConfigurationRead_ =
--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -361,3 +361,22 @@
   CHECK(Eventually([&] { return host.shared.isStateConfirmed.load(); }));
   CHECK(host.Revision() == 2);
 }
+
+TEST_CASE("a read from before a pause of the process does not delay the one after it")
+{
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  ControlHost host(tables, "paused", 2, FreePort());
+  REQUIRE(Eventually([&] { return host.Revision() == 1 && host.GrantsSlotOf("one"); }));
+  const int readsBefore = host.faults.reads;
+  host.faults.hangs = true;
+  // The watch is given up, and the read that follows it hangs.
+  REQUIRE(Eventually([&] { return host.faults.reads > readsBefore; }));
+  host.loop->Post([] { std::this_thread::sleep_for(Milliseconds(1300)); });
+  host.faults.hangs = false;
+  tables.Put(kConfigurationTable, "current", "2");
+  CHECK(Eventually([&] { return host.hasDetectedPause.load(); }));
+  CHECK(Eventually([&] { return host.shared.isStateConfirmed.load(); }));
+  CHECK(host.Revision() == 2);
+}
