Fleet: a configuration that was read after its announcement is passed on to the children only

Hosts that read an announced configuration from the store sent it to all heads of their domain: the read forgot who had announced it, and an unknown announcer counted as one of another domain. Found by reading the change.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -269,8 +269,8 @@
 void FleetControl::ForwardConfiguration(TimePoint aNow)
 {
   const Member* announcer = members_->Find(newerConfigurationPeer_);
-  const std::vector<std::string> targets = spreader_->OnReceived(
-    newerConfigurationPeer_, announcer == nullptr ? "" : announcer->failureDomain, true, aNow);
+  const std::vector<std::string> targets = spreader_->ForwardTargets(
+    announcer == nullptr ? init_.failureDomain : announcer->failureDomain, aNow);
   if (registry_.HasState()) {
     const RegistryChange none;
     SendView(targets, &none, SharedChange());
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -364,10 +364,6 @@
           schedule_.NextRead(Duration(0), TimePoint{}, lastStoreFailure_, storeFailures_);
         LogConfigurationReadFailure(aRows.Failure(), requestedAt);
       }
-      if (!aRows && !newerConfigurationPeer_.empty()) {
-        AskForState(newerConfigurationPeer_, false);
-      }
-      newerConfigurationPeer_.clear();
       OnConfigurationRows(aRows);
     });
 }
--- a/packages/overlay/include/boragegauge/overlay.h
+++ b/packages/overlay/include/boragegauge/overlay.h
@@ -101,6 +101,8 @@
                                       std::string_view aSenderDomain,
                                       bool aIsNews,
                                       TimePoint aNow);
+  /// Receivers of state that this host has got from a host of a failure domain.
+  std::vector<std::string> ForwardTargets(std::string_view aSenderDomain, TimePoint aNow);
   /// Records that a host asked for the state of this one. It is sent updates for a while.
   void AddFollower(std::string_view aHost, TimePoint aNow);
 
--- a/packages/overlay/src/spreader.cpp
+++ b/packages/overlay/src/spreader.cpp
@@ -54,6 +54,11 @@
   if (!aIsNews && aNow - lastForwardedAt_ < init_.keepAliveInterval) {
     return {};
   }
+  return ForwardTargets(aSenderDomain, aNow);
+}
+
+std::vector<std::string> Spreader::ForwardTargets(std::string_view aSenderDomain, TimePoint aNow)
+{
   lastForwardedAt_ = aNow;
   std::vector<std::string> hosts = tree_.Children();
   if (aSenderDomain != init_.tree.failureDomain) {
--- a/packages/overlay/tests/spreader_test.cpp
+++ b/packages/overlay/tests/spreader_test.cpp
@@ -259,3 +259,15 @@
   fleet.Advance(std::chrono::seconds(3));
   CHECK(fleet.Outdated() > 0);
 }
+
+TEST_CASE("state that a host has got is passed on to the heads of its domain only from another one")
+{
+  const TimePoint now{ std::chrono::hours(1) };
+  Spreader spreader({ .tree = { "host0", "a", 4, 2 } });
+  for (int i = 1; i < 30; ++i) {
+    spreader.Tree().Add("host" + std::to_string(i), "a");
+  }
+  const size_t children = spreader.Tree().Children().size();
+  CHECK(spreader.ForwardTargets("a", now).size() == children);
+  CHECK(spreader.ForwardTargets("b", now).size() >= spreader.Tree().Heads().size());
+}
