--- a/packages/ctl/tests/log_timeline_test.cpp
+++ b/packages/ctl/tests/log_timeline_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -91,6 +92,18 @@
     CHECK(EventsOf(timeline) ==
           std::vector<std::string>{ "one attempt_failed", "one upstream_suspected" });
   }
+  SUBCASE("shows the limits of its upstreams, by whichever host")
+  {
+    const auto limited =
+      Read(std::string(kLogs) +
+           "three time=2026-10-19T19:50:22.000Z level=info event=upstream_limited upstream=i-1 "
+           "shard=desk#0 per_second=2 peer=one\n"
+           "three time=2026-10-19T19:50:22.000Z level=info event=upstream_limited upstream=i-2 "
+           "shard=desk#0 per_second=2 peer=one\n");
+    const Timeline timeline = MakeTimeline(limited, { .requestId = "5b1e" });
+    const std::vector<std::string> events = EventsOf(timeline);
+    CHECK(std::count(events.begin(), events.end(), "three upstream_limited") == 1);
+  }
   SUBCASE("says so when nothing is known")
   {
     const Timeline timeline = MakeTimeline(lines, { .requestId = "none" });
