Fleet: an allocator of one of many shards expects the hosts that use it only

With more than eight shards a service (512 upstreams), each host uses eight of them, so that an allocator hears from less than half of all hosts, took itself for cut off from most of them, and gave limited upstreams a quarter of what they accept.

The hosts that an allocator expects are now those that use one shard on average. Tests: the number of these hosts; patches between random texts.

--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -26,6 +26,12 @@
 
 } // namespace
 
+size_t HostsPerShard(size_t aHosts, size_t aShards)
+{
+  return aShards <= kShardsPerHost ? aHosts
+                                   : std::max<size_t>(1, aHosts * kShardsPerHost / aShards);
+}
+
 SlotClient::SlotClient(SlotClientInit aInit)
   : init_(std::move(aInit))
 {
@@ -225,7 +231,7 @@
   pending.allocatorHost = host;
   if (host == Self()) {
     pending.timer.reset();
-    RecordServing(shard, now);
+    RecordServing(pending.shard, shard, now);
     shard.allocator->Request(MakeRequest(aSequence, pending.query), now);
     return;
   }
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -50,6 +50,9 @@
   TimePoint answeredAt{}; ///< Of the response that names requestLimit.
 };
 
+/// Number of hosts that use one of the shards of a service, on average.
+size_t HostsPerShard(size_t aHosts, size_t aShards);
+
 struct SlotClientInit
 {
   Members* members = nullptr;
@@ -183,9 +186,9 @@
                    TimePoint aAnsweredAt,
                    std::string_view aSource);
   /// Tells the allocator of a shard how many hosts reach this one.
-  void UpdateReach(Shard& aShard, TimePoint aNow);
+  void UpdateReach(std::string_view aKey, Shard& aShard, TimePoint aNow);
   /// Records that this host serves a request for a slot of the shard.
-  void RecordServing(Shard& aShard, TimePoint aNow);
+  void RecordServing(std::string_view aKey, Shard& aShard, TimePoint aNow);
   void ShareLimits(std::string_view aShard,
                    placement::SlotAllocator& aAllocator,
                    std::span<const std::string> aHosts);
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -32,16 +32,18 @@
   return found != sharedSuspects_.end() && found->second > aNow;
 }
 
-void SlotClient::UpdateReach(Shard& aShard, TimePoint aNow)
+void SlotClient::UpdateReach(std::string_view aKey, Shard& aShard, TimePoint aNow)
 {
-  aShard.allocator->SetReach(init_.members->CountClients(kClientPeriod, aNow),
-                             init_.members->Count());
+  const auto shards = shardCounts_.find(std::string(aKey.substr(0, aKey.rfind('#'))));
+  aShard.allocator->SetReach(
+    init_.members->CountClients(kClientPeriod, aNow),
+    HostsPerShard(init_.members->Count(), shards == shardCounts_.end() ? 1 : shards->second));
 }
 
-void SlotClient::RecordServing(Shard& aShard, TimePoint aNow)
+void SlotClient::RecordServing(std::string_view aKey, Shard& aShard, TimePoint aNow)
 {
   if (aNow - std::exchange(aShard.lastRequestAt, aNow) > kServingWindow) {
-    UpdateReach(aShard, aNow);
+    UpdateReach(aKey, aShard, aNow);
   }
 }
 
@@ -81,7 +83,7 @@
     if (aNow - shard.lastRequestAt > kServingWindow) {
       continue;
     }
-    UpdateReach(shard, aNow);
+    UpdateReach(key, shard, aNow);
     wire::Envelope envelope;
     wire::Suspects& suspects = *envelope.mutable_suspects();
     suspects.set_shard(key);
@@ -282,7 +284,7 @@
   request.exclude.assign(message.exclude().begin(), message.exclude().end());
   Shard& shard = GetShard(message.shard());
   init_.members->RecordClient(aMessage.sender().host(), now);
-  RecordServing(shard, now);
+  RecordServing(message.shard(), shard, now);
   if (shard.allocator->Request(request, now)) {
     return;
   }
--- a/packages/fleet/tests/shared_document_test.cpp
+++ b/packages/fleet/tests/shared_document_test.cpp
@@ -114,3 +114,27 @@
   step.set_copy_bytes(1);
   CHECK(ApplyPatch("text", patch) == "t");
 }
+
+TEST_CASE("a patch between any two texts yields the new one")
+{
+  uint64_t state = 0;
+  const auto next = [&state](uint64_t aLimit) { return Hash64("random", ++state) % aLimit; };
+  const auto makeText = [&](std::string_view aOther) {
+    std::string text;
+    for (uint64_t pieces = next(40); pieces > 0; --pieces) {
+      if (!aOther.empty() && next(2) == 0) {
+        text += aOther.substr(next(aOther.size()), next(200));
+      } else {
+        text += std::string(next(60), "ab}\n{"[next(5)]);
+      }
+    }
+    return text;
+  };
+  for (int i = 0; i < 500; ++i) {
+    const std::string old = makeText("");
+    const std::string text = makeText(old);
+    const auto patched = ApplyPatch(old, MakePatch(old, text));
+    REQUIRE(patched);
+    REQUIRE(*patched == text);
+  }
+}
--- a/packages/fleet/tests/slot_client_test.cpp
+++ b/packages/fleet/tests/slot_client_test.cpp
@@ -385,3 +385,12 @@
     }
   }
 }
+
+TEST_CASE("the number of hosts that use one of the shards of a service")
+{
+  // An allocator that less than half of them reach counts as cut off and uses limits in part.
+  CHECK(HostsPerShard(12, 1) == 12);
+  CHECK(HostsPerShard(12, 8) == 12);
+  CHECK(HostsPerShard(443, 18) == 196);
+  CHECK(HostsPerShard(1, 100) == 1);
+}
