Fleet: a configuration that is not activated is read once

A configuration that cannot be read, or whose revision is in force already (the operator wrote it again), was read by the watching host at each tick, 20 times a second; and a host that activated it after a restart made all others read it again and again, since they ask for what a peer reports as newer. No caller saw it; store calls are priced and limited. Found by reading the change.

The host remembers the newest version that it did not activate and neither watches, reads nor asks for it again. Test: 'a configuration that is not activated is read once' counted 46, 46 and 120 calls in 2 s before (limit 16) and passes.

--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -73,7 +73,7 @@
   }
   isWatching_ = true;
   platform_.store->Watch(platform_.configurationTable,
-                         document_.Version(),
+                         SeenVersion(),
                          kWatchWait,
                          kWatchDeadline + TransferTime(document_.Text().size()),
                          [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
@@ -115,7 +115,7 @@
                                          const wire::Document* aReceived,
                                          std::string_view aSource)
 {
-  if (aVersion <= document_.Version()) {
+  if (aVersion <= SeenVersion()) {
     return false;
   }
   auto configuration = platform_.parseConfiguration(aDocument);
@@ -126,9 +126,11 @@
           { "source", aSource },
           { "detail", configuration.Failure().detail },
           { "revision_in_force", revision_ } });
+    rejectedVersion_ = aVersion;
     return false;
   }
   if (configuration->revision <= revision_) {
+    rejectedVersion_ = aVersion;
     return false;
   }
   const Duration lag = ConfigurationLag(Now());
@@ -156,7 +158,7 @@
   if (aVersion <= newestKnownVersion_) {
     return;
   }
-  if (newestKnownVersion_ <= document_.Version()) {
+  if (newestKnownVersion_ <= SeenVersion()) {
     newerKnownSince_ = aNow;
     configurationRequests_ = 0;
     nextConfigurationRequest_ = aNow;
@@ -173,7 +175,7 @@
 
 void FleetControl::FetchConfiguration(TimePoint aNow)
 {
-  if (newestKnownVersion_ <= document_.Version()) {
+  if (newestKnownVersion_ <= SeenVersion()) {
     return;
   }
   if (aNow >= nextConfigurationRequest_) {
@@ -266,7 +268,7 @@
 
 Duration FleetControl::ConfigurationLag(TimePoint aNow) const
 {
-  return newestKnownVersion_ > document_.Version() ? aNow - newerKnownSince_ : Duration(0);
+  return newestKnownVersion_ > SeenVersion() ? aNow - newerKnownSince_ : Duration(0);
 }
 
 void FleetControl::LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -86,6 +87,8 @@
   /// Records that a peer has a newer configuration than this host.
   void RecordNewerConfiguration(uint64_t aVersion, const std::string& aPeer, TimePoint aNow);
   void LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt);
+  /// Store version of the newest configuration that this host has, active or not.
+  uint64_t SeenVersion() const { return std::max(document_.Version(), rejectedVersion_); }
   /// How long this host has known of a newer configuration than the active one; 0: it knows of
   /// none.
   Duration ConfigurationLag(TimePoint aNow) const;
@@ -183,6 +186,7 @@
   SharedDocument document_;            ///< The active configuration.
   bool isReader_ = false;              ///< This host was the last one to read the store.
   uint32_t readerOrder_ = 0;           ///< Order of the host that was, plus 1; 0: unknown.
+  uint64_t rejectedVersion_ = 0;       ///< Newest store version that was not activated.
   std::string newerConfigurationPeer_; ///< The last peer that reported a newer configuration.
   TimePoint configurationFreshAt_{};   ///< When the active configuration was last the newest one.
   uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -395,7 +395,7 @@
   }
   const bool isActivated =
     ActivateFromPeer(view.configuration_version(), view.configuration(), host);
-  if (view.configuration_version() > document_.Version()) {
+  if (view.configuration_version() > SeenVersion()) {
     newerConfigurationPeer_ = host;
     isNewerLarge_ = view.configuration_large();
     RecordNewerConfiguration(view.configuration_version(), host, now);
--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <cctype>
 #include <future>
 #include <thread>
 
@@ -51,6 +52,9 @@
     shared.onResumed = [this] { hasDetectedPause = !shared.isStateConfirmed; };
     control_ = std::make_unique<FleetControl>(init_, shared);
     const auto error = control_->Bind();
+    const std::string detail =
+      error ? error->step + ' ' + error->peer + ' ' + error->detail : std::string();
+    CAPTURE(detail);
     REQUIRE_FALSE(error);
     control_->Start();
   }
@@ -95,6 +99,9 @@
     adapter.configurationKey = "current";
     adapter.upstreamTable = kUpstreamTable;
     adapter.parseConfiguration = [](std::string_view aDocument) -> Result<FleetConfiguration> {
+      if (aDocument.empty() || std::isdigit(static_cast<unsigned char>(aDocument.front())) == 0) {
+        return Error{ Errc::InvalidArgument, "fake.parse", "", "no revision" };
+      }
       FleetConfiguration configuration;
       configuration.revision = std::stoull(std::string(aDocument));
       return configuration;
@@ -236,6 +243,48 @@
   CHECK(one.faults.reads + one.faults.watches - callsBefore <= 9);
 }
 
+TEST_CASE("a configuration that is not activated is read once")
+{
+  // Otherwise hosts read it again and again, from the store or as the newer one of a peer.
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "2");
+  tables.Put(kUpstreamTable, "one", "ready");
+  const uint16_t port = FreePort();
+  ControlHost one(tables, "one", 3, port);
+  ControlHost two(tables, "two", 4, port);
+  REQUIRE(Eventually([&] { return one.Revision() == 2 && two.Revision() == 2; }));
+  const auto calls = [&] {
+    return one.faults.reads + one.faults.watches + two.faults.reads + two.faults.watches;
+  };
+  const auto callsOfTwoSeconds = [&] {
+    const int before = calls();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    return calls() - before;
+  };
+  // Four watches of the upstreams, three of the configuration and two of the members, and some more
+  // when the host that reads for both changes.
+  constexpr int kUsualCalls = 16;
+  CHECK(callsOfTwoSeconds() <= kUsualCalls);
+  SUBCASE("because it cannot be read")
+  {
+    tables.Put(kConfigurationTable, "current", "unreadable");
+    CHECK(callsOfTwoSeconds() <= kUsualCalls);
+  }
+  SUBCASE("because its revision is in force already")
+  {
+    tables.Put(kConfigurationTable, "current", "2");
+    CHECK(callsOfTwoSeconds() <= kUsualCalls);
+    SUBCASE("although a restarted host has activated it")
+    {
+      ControlHost three(tables, "three", 5, port);
+      REQUIRE(Eventually([&] { return three.Revision() == 2; }));
+      CHECK(callsOfTwoSeconds() <= kUsualCalls);
+    }
+  }
+  tables.Put(kConfigurationTable, "current", "3");
+  CHECK(Eventually([&] { return one.Revision() == 3 && two.Revision() == 3; }));
+}
+
 TEST_CASE("changes of upstreams reach all hosts")
 {
   FakeTables tables;
