--- a/tests/prove/processes.py
+++ b/tests/prove/processes.py
@@ -47,9 +47,12 @@
     return json.loads(text)
 
 
+given_ports = set()  # By free_ports(); their processes may not listen yet.
+
+
 def free_ports(count):
     """Free ports below those that the system gives to connections, so that none of them takes one
-    while a process that is to listen there is restarted."""
+    while a process that is to listen there is restarted. No port is returned twice."""
     ports = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(*LISTENING_PORTS)
@@ -58,7 +61,8 @@
                 entry.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in given_ports:
+            given_ports.add(port)
             ports.append(port)
     return ports
 
