Fleet test: peer ports come from below those that the system gives to sockets

Suspected cause of the one failure to bind a host in control_test: the peer port was taken from the ports that the system gives to sockets without one, and each host opens two of these before it binds its peer port.

--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cctype>
 #include <future>
+#include <random>
 #include <thread>
 
 #include "control_p.h"
@@ -19,11 +20,14 @@
 constexpr const char* kConfigurationTable = "settings";
 constexpr const char* kUpstreamTable = "upstreams";
 
-/// A port that is free on all loopback addresses, as far as the system can tell.
+/// A port below those that the system gives to sockets that name none, so that no host of a test
+/// takes the peer port of another one for its readiness or admin address.
 uint16_t FreePort()
 {
-  bg::test::ClosedPort port;
-  return port.Port();
+  constexpr uint16_t kFirst = 12000;
+  constexpr uint16_t kLast = 31999; // Linux gives ports from 32768 on.
+  static std::random_device device;
+  return std::uniform_int_distribution<uint16_t>(kFirst, kLast)(device);
 }
 
 /// The control thread of a host whose access to the shared tables can fail.
