Fleet: logs, state and metrics show the epoch of the store, its calls, and what hosts drop

Callers saw nothing of this; the logs could not tell why a configuration that had been acknowledged after a restore of the store was not active. A row that was read and not activated left no line, and calls were not counted.

MeteredStore counts calls by operation and result. New events: store_epoch_changed, configuration_ignored, upstreams_read_dropped. No decision depends on them yet.

--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -84,6 +84,7 @@
 {
   std::vector<StoreRow> rows;
   uint64_t version = 0; ///< Version of the store that the rows reflect.
+  uint64_t epoch = 0;   ///< Rises when the store is restored from an older copy.
 };
 
 /// Tables of the shared store. Calls are asynchronous; callbacks run on the thread of the event
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -31,6 +31,10 @@
   spreader_ = std::make_unique<overlay::Spreader>(
     overlay::SpreaderInit{ .tree = { .host = init_.host, .failureDomain = init_.failureDomain } });
   platform_ = init_.createPlatform(loop_);
+  auto store = std::make_unique<MeteredStore>(
+    std::move(platform_.store), [this](uint64_t aEpoch) { RecordStoreEpoch(aEpoch); });
+  store_ = store.get();
+  platform_.store = std::move(store);
   SlotClientInit slots;
   slots.members = members_.get();
   slots.registry = &registry_;
@@ -221,6 +225,13 @@
   }
   if (aRequest.target == "/state") {
     const SlotClientStats& stats = slots_->Stats();
+    StoreCalls calls;
+    for (const StoreCalls& operation : store_->Calls()) {
+      calls.succeeded += operation.succeeded;
+      calls.refused += operation.refused;
+      calls.unanswered += operation.unanswered;
+      calls.historyGone += operation.historyGone;
+    }
     std::string text =
       "host=" + init_.host + " revision=" + std::to_string(revision_) +
       " registry_version=" + std::to_string(registry_.Version()) +
@@ -230,6 +241,11 @@
       " tree_depth=" + std::to_string(spreader_->Tree().Depth()) +
       " tree_children=" + std::to_string(spreader_->Tree().Children().size()) +
       " reads_store=" + (isReader_ ? "yes" : "no") +
+      " store_epoch=" + std::to_string(StoreEpoch()) +
+      " store_calls=" + std::to_string(calls.succeeded) +
+      " store_calls_refused=" + std::to_string(calls.refused) +
+      " store_calls_unanswered=" + std::to_string(calls.unanswered) +
+      " store_calls_history_gone=" + std::to_string(calls.historyGone) +
       " registry_age_ms=" + std::to_string(ToWireMs(Now() - registry_.FreshAt())) +
       " configuration_age_ms=" + std::to_string(ToWireMs(Now() - configurationFreshAt_)) +
       " configuration_lag_ms=" + std::to_string(ToWireMs(ConfigurationLag(Now()))) +
--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -101,6 +101,13 @@
     }
   }
   const bool wasAnnounced = newest != nullptr && newest->version <= newestKnownVersion_;
+  if (newest != nullptr && newest->version <= SeenVersion() && newest->version != ignoredVersion_ &&
+      newest->value != document_.Text()) {
+    const auto configuration = platform_.parseConfiguration(newest->value);
+    LogIgnoredConfiguration(newest->version,
+                            configuration ? configuration->revision : 0,
+                            "its store version is not above that of a configuration seen before");
+  }
   const bool isNew =
     newest != nullptr && ActivateConfiguration(newest->version, newest->value, nullptr, "store");
   if (isNew && wasAnnounced) {
@@ -130,6 +137,7 @@
     return false;
   }
   if (configuration->revision <= revision_) {
+    LogIgnoredConfiguration(aVersion, configuration->revision, "its revision is not above");
     rejectedVersion_ = aVersion;
     return false;
   }
@@ -151,6 +159,23 @@
   return true;
 }
 
+void FleetControl::LogIgnoredConfiguration(uint64_t aVersion,
+                                           uint64_t aRevision,
+                                           std::string_view aReason)
+{
+  if (std::exchange(ignoredVersion_, aVersion) == aVersion) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "configuration_ignored",
+      { { "store_version", aVersion },
+        { "store_epoch", StoreEpoch() },
+        { "revision", aRevision },
+        { "revision_in_force", revision_ },
+        { "version_in_force", document_.Version() },
+        { "reason", aReason } });
+}
+
 void FleetControl::RecordNewerConfiguration(uint64_t aVersion,
                                             const std::string& aPeer,
                                             TimePoint aNow)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -11,6 +11,7 @@
 #include "boragegauge/httpd.h"
 #include "boragegauge/overlay.h"
 #include "boragegauge/peering.h"
+#include "metered_store_p.h"
 #include "routes_p.h"
 #include "shared_document_p.h"
 #include "slot_client_p.h"
@@ -67,6 +68,9 @@
   void Release(uint64_t aSequence, const SlotReport& aReport);
   /// Number of upstreams with a request limit in force, by service. Control thread only.
   std::map<std::string, size_t> LimitedUpstreams() const { return slots_->LimitedUpstreams(); }
+  /// Control thread only, like StoreEpoch().
+  const MeteredStore::Counts& StoreCallCounts() const { return store_->Calls(); }
+  uint64_t StoreEpoch() const { return storeEpoch_.value_or(0); }
   /// Sets the source of the metrics page, which is called on the control thread. Must be set before
   /// Start().
   void SetMetrics(std::function<std::string()> aMetrics) { metrics_ = std::move(aMetrics); }
@@ -109,6 +113,9 @@
   void OnRegistryChange(const RegistryChange& aChange, std::string_view aSource);
   void LogUpstreamChanges(const RegistryChange& aChange, std::string_view aSource) const;
   void RecordStoreResult(bool aIsAvailable, const Error* aError);
+  void RecordStoreEpoch(uint64_t aEpoch);
+  /// Logs a configuration of the store that is not activated, once.
+  void LogIgnoredConfiguration(uint64_t aVersion, uint64_t aRevision, std::string_view aReason);
 
   void HandleMessage(std::string_view aBytes);
   void HandleHello(const wire::Envelope& aMessage);
@@ -159,6 +166,7 @@
   FleetShared& shared_;
   EventLoop loop_;
   PlatformAdapter platform_;
+  MeteredStore* store_ = nullptr; ///< The store of platform_.
   std::unique_ptr<HttpServer> readiness_;
   std::unique_ptr<HttpServer> admin_;
   std::unique_ptr<PeerTransport> transport_;
@@ -194,10 +202,13 @@
   bool isNewerLarge_ = false;          ///< Peers send the change to some hosts only.
   uint32_t configurationRequests_ = 0; ///< To peers since then.
   TimePoint nextConfigurationRequest_{};
-  TimePoint documentBytesSince_{};    ///< Start of the second in which documentBytes_ were sent.
-  size_t documentBytes_ = 0;          ///< Of large documents.
-  TimePoint lastReadFailureLog_{};    ///< Of a read of the configuration.
-  TimePoint nextConfigurationRead_{}; ///< After a failed read; earlier ones are not worth a call.
+  TimePoint documentBytesSince_{};     ///< Start of the second in which documentBytes_ were sent.
+  size_t documentBytes_ = 0;           ///< Of large documents.
+  TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
+  TimePoint nextConfigurationRead_{};  ///< After a failed read; earlier ones are not worth a call.
+  std::optional<uint64_t> storeEpoch_; ///< Of the last response; nothing before the first one.
+  uint64_t ignoredVersion_ = 0;        ///< See LogIgnoredConfiguration().
+  TimePoint lastDroppedReadLog_{};     ///< Of a read of the upstreams.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
   bool isReadingConfiguration_ = false;
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -28,6 +28,8 @@
 constexpr Duration kMaxMembersWait = Milliseconds(300);
 /// A larger change, as at the start, is logged as one line with the numbers of upstreams.
 constexpr size_t kMaxLoggedUpstreams = 8;
+/// Reads of the upstreams that are dropped are logged no more often than this.
+constexpr Duration kDroppedReadLogInterval = std::chrono::seconds(1);
 /// Table in which the hosts of the fleet register.
 constexpr std::string_view kMembersTable = "members";
 
@@ -124,6 +126,22 @@
         { "revision", revision_ } });
 }
 
+void FleetControl::RecordStoreEpoch(uint64_t aEpoch)
+{
+  const std::optional<uint64_t> previous = std::exchange(storeEpoch_, aEpoch);
+  if (!previous || *previous == aEpoch) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "store_epoch_changed",
+      { { "epoch", aEpoch },
+        { "previous", *previous },
+        { "source", "store" },
+        { "registry_version", registry_.Version() },
+        { "configuration_version", document_.Version() },
+        { "revision", revision_ } });
+}
+
 /// Writes the row of this host, then reads the rows of all members.
 void FleetControl::Register()
 {
@@ -278,6 +296,17 @@
           { { "upstream", row.key }, { "detail", upstream.Failure().detail } });
     }
   }
+  if (aRows.version < registry_.Version() &&
+      Now() - lastDroppedReadLog_ >= kDroppedReadLogInterval) {
+    lastDroppedReadLog_ = Now();
+    Log(LogLevel::Warning,
+        "upstreams_read_dropped",
+        { { "version", aRows.version },
+          { "epoch", aRows.epoch },
+          { "registry_version", registry_.Version() },
+          { "upstreams", aRows.rows.size() },
+          { "reason", "the state of this host has a higher version" } });
+  }
   const RegistryChange change = aIsIncremental
                                   ? registry_.ApplyChanges(entries, aRows.version, Now())
                                   : registry_.ApplySnapshot(entries, aRows.version, Now());
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -38,6 +38,23 @@
       .Name("boragegauge_fleet_limited_upstreams")
       .Help("Upstreams whose responses name a limit of requests, as far as this host knows them")
       .Register(registry);
+  prometheus::Family<prometheus::Counter>& storeCalls =
+    prometheus::BuildCounter()
+      .Name("boragegauge_fleet_store_calls_total")
+      .Help("Calls to the store by operation and result")
+      .Register(registry);
+  prometheus::Gauge& storeEpoch = prometheus::BuildGauge()
+                                    .Name("boragegauge_fleet_store_epoch")
+                                    .Help("Rises when the store is restored from an older copy")
+                                    .Register(registry)
+                                    .Add({});
+
+  void SetCalls(StoreOperation aOperation, const char* aResult, uint64_t aCount)
+  {
+    auto& counter =
+      storeCalls.Add({ { "operation", std::string(ToString(aOperation)) }, { "result", aResult } });
+    counter.Increment(static_cast<double>(aCount) - counter.Value());
+  }
 };
 
 FleetMetrics::FleetMetrics()
@@ -76,6 +93,18 @@
   }
 }
 
+void FleetMetrics::SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch)
+{
+  for (size_t i = 0; i < aCalls.size(); ++i) {
+    const auto operation = static_cast<StoreOperation>(i);
+    impl_->SetCalls(operation, "succeeded", aCalls[i].succeeded);
+    impl_->SetCalls(operation, "refused", aCalls[i].refused);
+    impl_->SetCalls(operation, "unanswered", aCalls[i].unanswered);
+    impl_->SetCalls(operation, "history_gone", aCalls[i].historyGone);
+  }
+  impl_->storeEpoch.Set(static_cast<double>(aEpoch));
+}
+
 std::string FleetMetrics::Expose() const
 {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
