--- a/packages/fleet/tests/control_test.cpp
+++ b/packages/fleet/tests/control_test.cpp
@@ -1,12 +1,8 @@
 #include <doctest/doctest.h>
 
-#include <cctype>
-#include <future>
-#include <random>
 #include <thread>
 
-#include "control_p.h"
-#include "fake_row_store.h"
+#include "control_host.h"
 #include "raw_tcp.h"
 
 using namespace bg;
@@ -17,115 +13,6 @@
 
 namespace {
 
-constexpr const char* kConfigurationTable = "settings";
-constexpr const char* kUpstreamTable = "upstreams";
-
-/// A port below those that the system gives to sockets that name none, so that no host of a test
-/// takes the peer port of another one for its readiness or admin address.
-uint16_t FreePort()
-{
-  constexpr uint16_t kFirst = 12000;
-  constexpr uint16_t kLast = 31999; // Linux gives ports from 32768 on.
-  static std::random_device device;
-  return std::uniform_int_distribution<uint16_t>(kFirst, kLast)(device);
-}
-
-/// The control thread of a host whose access to the shared tables can fail.
-class ControlHost
-{
-public:
-  ControlHost(FakeTables& aTables,
-              const std::string& aName,
-              int aNumber,
-              uint16_t aPeerPort,
-              bool aRefuseStoreCalls = false,
-              size_t aMaxDirectReaders = 150)
-  {
-    init_.maxDirectReaders = aMaxDirectReaders;
-    init_.capacity = 10;
-    init_.host = aName;
-    init_.failureDomain = "a";
-    init_.address = "127.0.0." + std::to_string(aNumber);
-    init_.readinessAddress = init_.address;
-    init_.peerPort = aPeerPort;
-    init_.createPlatform = [this, &aTables](EventLoop& aLoop) {
-      loop = &aLoop;
-      return MakeAdapter(aLoop, aTables);
-    };
-    faults.refuses = aRefuseStoreCalls;
-    shared.onResumed = [this] { hasDetectedPause = !shared.isStateConfirmed; };
-    control_ = std::make_unique<FleetControl>(init_, shared);
-    const auto error = control_->Bind();
-    const std::string detail =
-      error ? error->step + ' ' + error->peer + ' ' + error->detail : std::string();
-    CAPTURE(detail);
-    REQUIRE_FALSE(error);
-    control_->Start();
-  }
-
-  uint64_t Revision() const
-  {
-    const auto routes = shared.routes.load();
-    return routes ? routes->Configuration().revision : 0;
-  }
-
-  /// Acquires a slot for a request. @return Whether it is a slot of the given upstream.
-  bool GrantsSlotOf(const std::string& aUpstream)
-  {
-    std::promise<bool> promise;
-    loop->Post([&] {
-      SlotQuery query;
-      query.service = "desk";
-      query.idempotent = true;
-      query.receivedAt = Now();
-      query.deadline = Now() + std::chrono::seconds(2);
-      const uint64_t sequence = ++sequence_;
-      control_->Acquire(
-        sequence, query, [this, &promise, sequence, &aUpstream](const SlotResult& aSlot) {
-          control_->Release(sequence, {});
-          promise.set_value(aSlot.isGranted && aSlot.upstream.id == aUpstream);
-        });
-    });
-    return promise.get_future().get();
-  }
-
-  FakeFaults faults;
-  FleetShared shared;
-  EventLoop* loop = nullptr;
-  std::atomic<bool> hasDetectedPause = false; ///< The host has detected a pause of its process.
-
-private:
-  PlatformAdapter MakeAdapter(EventLoop& aLoop, FakeTables& aTables)
-  {
-    PlatformAdapter adapter;
-    adapter.store = std::make_unique<FakeRowStore>(aLoop, aTables, faults);
-    adapter.configurationTable = kConfigurationTable;
-    adapter.configurationKey = "current";
-    adapter.upstreamTable = kUpstreamTable;
-    adapter.parseConfiguration = [](std::string_view aDocument) -> Result<FleetConfiguration> {
-      if (aDocument.empty() || std::isdigit(static_cast<unsigned char>(aDocument.front())) == 0) {
-        return Error{ Errc::InvalidArgument, "fake.parse", "", "no revision" };
-      }
-      FleetConfiguration configuration;
-      configuration.revision = std::stoull(std::string(aDocument));
-      return configuration;
-    };
-    adapter.parseUpstream = [](std::string_view aId,
-                               std::string_view aEntry) -> Result<RegisteredUpstream> {
-      RegisteredUpstream upstream;
-      upstream.id = aId;
-      upstream.service = "desk";
-      upstream.isDraining = aEntry == "draining";
-      return upstream;
-    };
-    return adapter;
-  }
-
-  FleetInit init_;
-  std::unique_ptr<FleetControl> control_;
-  uint64_t sequence_ = 0;
-};
-
 /// A configuration of some 200 KB. Two revisions differ in their first line only.
 std::string LargeConfiguration(uint64_t aRevision)
 {
--- a/packages/fleet/tests/fake_row_store.h
+++ b/packages/fleet/tests/fake_row_store.h
@@ -17,27 +17,50 @@
   void Put(const std::string& aTable, const std::string& aKey, std::string aValue)
   {
     const std::lock_guard lock(mutex_);
-    Write(aTable, { aKey, std::move(aValue), ++version_, false });
+    Write(aTable, { aKey, std::move(aValue), ++state_.version, false });
   }
 
   void Remove(const std::string& aTable, const std::string& aKey)
   {
     const std::lock_guard lock(mutex_);
-    Write(aTable, { aKey, "", ++version_, true });
+    Write(aTable, { aKey, "", ++state_.version, true });
   }
 
   /// Makes the changes up to now unavailable.
   void DropHistory()
   {
     const std::lock_guard lock(mutex_);
-    historyStart_ = ++version_;
+    state_.historyStart = ++state_.version;
+  }
+
+  /// Keeps a copy of the current state.
+  void SaveCopy()
+  {
+    const std::lock_guard lock(mutex_);
+    copy_ = state_;
+  }
+
+  /// Replaces the state by the copy: versions go back and the epoch rises.
+  void RestoreCopy()
+  {
+    const std::lock_guard lock(mutex_);
+    const uint64_t epoch = state_.epoch + 1;
+    state_ = copy_;
+    state_.epoch = epoch;
+  }
+
+  bool Contains(const std::string& aTable, const std::string& aKey)
+  {
+    const std::lock_guard lock(mutex_);
+    const auto row = state_.tables[aTable].find(aKey);
+    return row != state_.tables[aTable].end() && !row->second.isDeleted;
   }
 
   StoreRows Read(const std::string& aTable)
   {
     const std::lock_guard lock(mutex_);
-    StoreRows rows{ {}, version_ };
-    for (const auto& [key, row] : tables_[aTable]) {
+    StoreRows rows{ {}, state_.version, state_.epoch };
+    for (const auto& [key, row] : state_.tables[aTable]) {
       if (!row.isDeleted) {
         rows.rows.push_back(row);
       }
@@ -48,11 +71,11 @@
   Result<StoreRows> ChangesAfter(const std::string& aTable, uint64_t aVersion)
   {
     const std::lock_guard lock(mutex_);
-    if (aVersion < historyStart_) {
-      return Error{ Errc::NotFound, "fake.watch", "", "history dropped" };
+    if (aVersion < state_.historyStart || aVersion > state_.version) {
+      return Error{ Errc::NotFound, "fake.watch", "", "no such version" };
     }
-    StoreRows rows{ {}, version_ };
-    for (const StoreRow& row : changes_[aTable]) {
+    StoreRows rows{ {}, state_.version, state_.epoch };
+    for (const StoreRow& row : state_.changes[aTable]) {
       if (row.version > aVersion) {
         rows.rows.push_back(row);
       }
@@ -63,15 +86,22 @@
 private:
   void Write(const std::string& aTable, const StoreRow& aRow)
   {
-    tables_[aTable][aRow.key] = aRow;
-    changes_[aTable].push_back(aRow);
+    state_.tables[aTable][aRow.key] = aRow;
+    state_.changes[aTable].push_back(aRow);
   }
 
+  struct State
+  {
+    std::map<std::string, std::map<std::string, StoreRow>> tables;
+    std::map<std::string, std::vector<StoreRow>> changes; ///< In order of version.
+    uint64_t version = 0;
+    uint64_t historyStart = 0;
+    uint64_t epoch = 1;
+  };
+
   std::mutex mutex_;
-  std::map<std::string, std::map<std::string, StoreRow>> tables_;
-  std::map<std::string, std::vector<StoreRow>> changes_; ///< In order of version.
-  uint64_t version_ = 0;
-  uint64_t historyStart_ = 0;
+  State state_;
+  State copy_; ///< See SaveCopy().
 };
 
 /// Faults and call counts of the store of one host. Thread-safe.
