--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -71,6 +71,16 @@
   friend bool operator==(const RegisteredUpstream&, const RegisteredUpstream&) = default;
 };
 
+/// Position in the history of the store. After the store was restored from an older copy, versions
+/// are given out again in the next epoch, so that a version alone does not order two states.
+struct StorePosition
+{
+  uint64_t epoch = 0;   ///< Rises with each restore.
+  uint64_t version = 0; ///< Rises with each write of an epoch.
+
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 /// A row of a table in the store.
 struct StoreRow
 {
@@ -83,13 +93,12 @@
 struct StoreRows
 {
   std::vector<StoreRow> rows;
-  uint64_t version = 0; ///< Version of the store that the rows reflect.
-  uint64_t epoch = 0;   ///< Rises when the store is restored from an older copy.
+  StorePosition position; ///< That the rows reflect.
 };
 
 /// Tables of the shared store. Calls are asynchronous; callbacks run on the thread of the event
 /// loop. Errors: Unavailable (the call was not executed), OutcomeUnknown (no response), NotFound
-/// (the changes since the version are no longer available).
+/// (the changes since the position are not available: too old, or of another epoch).
 class RowStore
 {
 public:
@@ -100,20 +109,25 @@
 
   /// Reads all rows of a table.
   virtual void Read(std::string_view aTable, Duration aDeadline, Callback<StoreRows> aCallback) = 0;
-  /// Waits for changes of a table after a version. Returns them as soon as there are any, or no
+  /// Reads one row; returns no rows if there is none.
+  virtual void ReadRow(std::string_view aTable,
+                       std::string_view aKey,
+                       Duration aDeadline,
+                       Callback<StoreRows> aCallback) = 0;
+  /// Waits for changes of a table after a position. Returns them as soon as there are any, or no
   /// rows after aWait.
   /// @param aDeadline Time for the response in addition to aWait.
   virtual void Watch(std::string_view aTable,
-                     uint64_t aAfter,
+                     StorePosition aAfter,
                      Duration aWait,
                      Duration aDeadline,
                      Callback<StoreRows> aCallback) = 0;
-  /// Writes a row and returns the version of the write.
+  /// Writes a row and returns the position of the write.
   virtual void Put(std::string_view aTable,
                    std::string_view aKey,
                    std::string_view aValue,
                    Duration aDeadline,
-                   Callback<uint64_t> aCallback) = 0;
+                   Callback<StorePosition> aCallback) = 0;
 };
 
 /// Metadata of a caller's request.
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -32,7 +32,7 @@
     overlay::SpreaderInit{ .tree = { .host = init_.host, .failureDomain = init_.failureDomain } });
   platform_ = init_.createPlatform(loop_);
   auto store = std::make_unique<MeteredStore>(
-    std::move(platform_.store), [this](uint64_t aEpoch) { RecordStoreEpoch(aEpoch); });
+    std::move(platform_.store), [this](uint64_t aEpoch) { RecordStoreEpoch(aEpoch, "store"); });
   store_ = store.get();
   platform_.store = std::move(store);
   SlotClientInit slots;
@@ -182,7 +182,7 @@
         "resumed",
         { { "stalled_ms", pause / Milliseconds(1) },
           { "revision", revision_ },
-          { "registry_version", registry_.Version() } });
+          { "registry_version", registry_.Position().version } });
     resumedAt_ = aNow;
     shared_.isStateConfirmed = false;
     if (shared_.onResumed) {
@@ -234,7 +234,7 @@
     }
     std::string text =
       "host=" + init_.host + " revision=" + std::to_string(revision_) +
-      " registry_version=" + std::to_string(registry_.Version()) +
+      " registry_version=" + std::to_string(registry_.Position().version) +
       " upstreams=" + std::to_string(registry_.Upstreams().size()) +
       " hosts=" + std::to_string(members_->Count()) +
       " peers=" + std::to_string(connectedPeers_.size()) +
@@ -242,6 +242,8 @@
       " tree_children=" + std::to_string(spreader_->Tree().Children().size()) +
       " reads_store=" + (isReader_ ? "yes" : "no") +
       " store_epoch=" + std::to_string(StoreEpoch()) +
+      " registry_epoch=" + std::to_string(registry_.Position().epoch) +
+      " configuration_epoch=" + std::to_string(document_.Id().position.epoch) +
       " store_calls=" + std::to_string(calls.succeeded) +
       " store_calls_refused=" + std::to_string(calls.refused) +
       " store_calls_unanswered=" + std::to_string(calls.unanswered) +
--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -33,6 +33,16 @@
 constexpr Duration kPeerConfigurationTime = Milliseconds(150);
 /// Interval between requests for a newer configuration.
 constexpr Duration kConfigurationRequestInterval = Milliseconds(200);
+/// Delay between reads that return an older configuration than a peer has reported.
+constexpr Duration kFruitlessReadDelay = Milliseconds(400);
+/// A newer configuration that no peer has reported for this long is given up.
+constexpr Duration kAnnouncementPeriod = std::chrono::seconds(5);
+/// Delay between a watch that failed and the next one.
+constexpr Duration kWatchRetryDelay = Milliseconds(400);
+/// Peers get a configuration from others within this time after it became active here.
+constexpr Duration kCorrectionDelay = Milliseconds(500);
+/// Configurations that are remembered as not activated.
+constexpr size_t kMaxRejectedConfigurations = 8;
 
 /// Longest time that a document takes from the store to a host.
 Duration TransferTime(size_t aBytes)
@@ -63,23 +73,27 @@
         LogConfigurationReadFailure(aRows.Failure(), requestedAt);
       }
       OnConfigurationRows(aRows);
+      if (aRows && IsWanted(newestKnown_)) {
+        nextConfigurationRead_ = Now() + kFruitlessReadDelay;
+      }
     });
 }
 
 void FleetControl::WatchConfiguration()
 {
-  if (isWatching_ || isReadingConfiguration_) {
+  if (isWatching_ || isReadingConfiguration_ || Now() < nextWatch_) {
     return;
   }
   isWatching_ = true;
   platform_.store->Watch(platform_.configurationTable,
-                         SeenVersion(),
+                         ConfigurationWatchPosition(),
                          kWatchWait,
                          kWatchDeadline + TransferTime(document_.Text().size()),
                          [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
                            isWatching_ = false;
                            if (!aRows || requestedAt < resumedAt_) {
                              // The table may hold a change that the watch did not deliver.
+                             nextWatch_ = Now() + kWatchRetryDelay;
                              ReadConfiguration();
                              return;
                            }
@@ -92,6 +106,10 @@
   if (!aRows) {
     return;
   }
+  if (aRows->position < configurationRead_) {
+    return; // A late response, possibly from before a restore of the store.
+  }
+  configurationRead_ = aRows->position;
   configurationFreshAt_ = Now();
   const StoreRow* newest = nullptr;
   for (const StoreRow& row : aRows->rows) {
@@ -100,56 +118,115 @@
       newest = &row;
     }
   }
-  const bool wasAnnounced = newest != nullptr && newest->version <= newestKnownVersion_;
-  if (newest != nullptr && newest->version <= SeenVersion() && newest->version != ignoredVersion_ &&
-      newest->value != document_.Text()) {
-    const auto configuration = platform_.parseConfiguration(newest->value);
-    LogIgnoredConfiguration(newest->version,
-                            configuration ? configuration->revision : 0,
-                            "its store version is not above that of a configuration seen before");
-  }
-  const bool isNew =
-    newest != nullptr && ActivateConfiguration(newest->version, newest->value, nullptr, "store");
-  if (isNew && wasAnnounced) {
+  const bool isNew = newest != nullptr &&
+                     ActivateConfiguration(
+                       { aRows->position.epoch, newest->version }, newest->value, nullptr, "store");
+  if (isNew && !document_.Id().IsNewerThan(newestKnown_)) {
     // The host that announced it has told all others.
     return ForwardConfiguration(Now());
   }
   ShareView({}, isNew);
 }
 
-bool FleetControl::ActivateConfiguration(uint64_t aVersion,
+bool FleetControl::IsWanted(const ConfigurationId& aId) const
+{
+  return aId.IsNewerThan(document_.Id()) && !aId.HasSameText(document_.Id()) &&
+         !rejected_.contains(aId.position);
+}
+
+StorePosition FleetControl::ConfigurationWatchPosition() const
+{
+  return std::max(configurationRead_, document_.Id().position);
+}
+
+void FleetControl::RejectConfiguration(StorePosition aPosition)
+{
+  rejected_.insert(aPosition);
+  if (rejected_.size() > kMaxRejectedConfigurations) {
+    rejected_.erase(rejected_.begin());
+  }
+}
+
+void FleetControl::RebaseConfiguration(StorePosition aPosition, std::string_view aSource)
+{
+  const StorePosition previous = document_.Id().position;
+  if (aPosition <= previous) {
+    return;
+  }
+  document_.SetPosition(aPosition);
+  Log(LogLevel::Info,
+      "configuration_rebased",
+      { { "revision", revision_ },
+        { "store_version", aPosition.version },
+        { "store_epoch", aPosition.epoch },
+        { "previous_version", previous.version },
+        { "previous_epoch", previous.epoch },
+        { "source", aSource } });
+}
+
+void FleetControl::CorrectConfiguration(const ConfigurationId& aId,
+                                        const std::string& aPeer,
+                                        TimePoint aNow)
+{
+  const bool isReplaced =
+    aId.revision != 0 && document_.Id().IsNewerThan(aId) && aNow - activatedAt_ > kCorrectionDelay;
+  if (!isReplaced || aNow < nextCorrection_ || !registry_.HasState()) {
+    return;
+  }
+  nextCorrection_ = aNow + kConfigurationRequestInterval;
+  const RegistryChange none;
+  SendView({ &aPeer, 1 }, &none, SmallDocument(aId.digest));
+}
+
+bool FleetControl::ActivateConfiguration(StorePosition aPosition,
                                          std::string aDocument,
                                          const wire::Document* aReceived,
                                          std::string_view aSource)
 {
-  if (aVersion <= SeenVersion()) {
+  if (aPosition == document_.Id().position || rejected_.contains(aPosition)) {
     return false;
   }
   auto configuration = platform_.parseConfiguration(aDocument);
   if (!configuration) {
     Log(LogLevel::Error,
         "configuration_rejected",
-        { { "store_version", aVersion },
+        { { "store_version", aPosition.version },
+          { "store_epoch", aPosition.epoch },
           { "source", aSource },
           { "detail", configuration.Failure().detail },
           { "revision_in_force", revision_ } });
-    rejectedVersion_ = aVersion;
+    RejectConfiguration(aPosition);
+    return false;
+  }
+  const ConfigurationId id{ configuration->revision, aPosition, Hash64(aDocument) };
+  if (id.HasSameText(document_.Id())) {
+    RebaseConfiguration(aPosition, aSource);
     return false;
   }
-  if (configuration->revision <= revision_) {
-    LogIgnoredConfiguration(aVersion, configuration->revision, "its revision is not above");
-    rejectedVersion_ = aVersion;
+  if (!id.IsNewerThan(document_.Id())) {
+    Log(LogLevel::Warning,
+        "configuration_ignored",
+        { { "revision", id.revision },
+          { "store_version", aPosition.version },
+          { "store_epoch", aPosition.epoch },
+          { "source", aSource },
+          { "revision_in_force", revision_ },
+          { "version_in_force", document_.Id().position.version },
+          { "epoch_in_force", document_.Id().position.epoch } });
+    RejectConfiguration(aPosition);
     return false;
   }
   const Duration lag = ConfigurationLag(Now());
   revision_ = configuration->revision;
-  document_.Replace(aVersion, std::move(aDocument), aReceived);
+  activatedAt_ = Now();
+  document_.Replace(id, std::move(aDocument), aReceived);
   shared_.routes.store(std::make_shared<const RouteTable>(
     std::make_shared<const FleetConfiguration>(std::move(*configuration))));
   Log(LogLevel::Info,
       "configuration_adopted",
       { { "revision", revision_ },
-        { "store_version", aVersion },
+        { "store_version", aPosition.version },
+        { "store_epoch", aPosition.epoch },
         { "source", aSource },
         { "routes", shared_.routes.load()->Configuration().routes.size() },
         { "lag_ms", lag / Milliseconds(1) } });
@@ -159,39 +236,27 @@
   return true;
 }
 
-void FleetControl::LogIgnoredConfiguration(uint64_t aVersion,
-                                           uint64_t aRevision,
-                                           std::string_view aReason)
-{
-  if (std::exchange(ignoredVersion_, aVersion) == aVersion) {
-    return;
-  }
-  Log(LogLevel::Warning,
-      "configuration_ignored",
-      { { "store_version", aVersion },
-        { "store_epoch", StoreEpoch() },
-        { "revision", aRevision },
-        { "revision_in_force", revision_ },
-        { "version_in_force", document_.Version() },
-        { "reason", aReason } });
-}
-
-void FleetControl::RecordNewerConfiguration(uint64_t aVersion,
+void FleetControl::RecordNewerConfiguration(const ConfigurationId& aId,
                                             const std::string& aPeer,
                                             TimePoint aNow)
 {
-  if (aVersion <= newestKnownVersion_) {
+  const bool isKnown = IsWanted(newestKnown_);
+  if (isKnown && !aId.IsNewerThan(newestKnown_)) {
+    newestKnownAt_ = newestKnown_.IsNewerThan(aId) ? newestKnownAt_ : aNow;
     return;
   }
-  if (newestKnownVersion_ <= SeenVersion()) {
+  if (!isKnown) {
     newerKnownSince_ = aNow;
     configurationRequests_ = 0;
     nextConfigurationRequest_ = aNow;
   }
-  newestKnownVersion_ = aVersion;
+  newestKnown_ = aId;
+  newestKnownAt_ = aNow;
   Log(LogLevel::Info,
       "configuration_announced",
-      { { "store_version", aVersion },
+      { { "announced_revision", aId.revision },
+        { "store_version", aId.position.version },
+        { "store_epoch", aId.position.epoch },
         { "peer", aPeer },
         { "revision", revision_ },
         { "confirmed_ms", (aNow - configurationFreshAt_) / Milliseconds(1) },
@@ -200,7 +265,16 @@
 
 void FleetControl::FetchConfiguration(TimePoint aNow)
 {
-  if (newestKnownVersion_ <= SeenVersion()) {
+  if (!IsWanted(newestKnown_)) {
+    return;
+  }
+  if (aNow - newestKnownAt_ > kAnnouncementPeriod) {
+    Log(LogLevel::Warning,
+        "configuration_unavailable",
+        { { "announced_revision", newestKnown_.revision },
+          { "peer", newerConfigurationPeer_ },
+          { "revision", revision_ } });
+    newestKnown_ = {};
     return;
   }
   if (aNow >= nextConfigurationRequest_) {
@@ -211,10 +285,13 @@
               : spreader_->Tree().RandomHead(random_(), configurationRequests_ % 2 == 0);
     if (!host.empty()) {
       wire::Envelope envelope;
-      envelope.mutable_configuration_request()->set_version(document_.Version());
+      *envelope.mutable_configuration_request()->mutable_id() = ToWire(document_.Id());
       Send(host, std::move(envelope));
     }
   }
+  if (newestKnown_.position.epoch < StoreEpoch()) {
+    return; // The restored store does not have it.
+  }
   const Duration wait = isNewerLarge_ ? Duration(0) : kPeerConfigurationTime;
   if (aNow >= std::max(nextConfigurationRead_, newerKnownSince_ + wait)) {
     ReadConfiguration();
@@ -223,11 +300,11 @@
 
 void FleetControl::AnswerConfigurationRequest(const wire::Envelope& aMessage)
 {
-  const uint64_t known = aMessage.configuration_request().version();
-  if (known >= document_.Version()) {
+  const ConfigurationId known = FromWire(aMessage.configuration_request().id());
+  if (!document_.Id().IsNewerThan(known)) {
     return;
   }
-  const wire::Document& document = document_.Encode(known);
+  const wire::Document& document = document_.Encode(known.digest);
   const TimePoint now = Now();
   if (now - documentBytesSince_ >= std::chrono::seconds(1)) {
     documentBytesSince_ = now;
@@ -239,7 +316,7 @@
   documentBytes_ += document.data().size();
   wire::Envelope envelope;
   wire::Configuration& configuration = *envelope.mutable_configuration();
-  configuration.set_version(document_.Version());
+  *configuration.mutable_id() = ToWire(document_.Id());
   configuration.set_age_ms(ToWireMs(now - configurationFreshAt_));
   *configuration.mutable_document() = document;
   Send(aMessage.sender().host(), std::move(envelope));
@@ -250,22 +327,22 @@
   const wire::Configuration& configuration = aMessage.configuration();
   const TimePoint now = Now();
   if (ActivateFromPeer(
-        configuration.version(), configuration.document(), aMessage.sender().host())) {
+        FromWire(configuration.id()), configuration.document(), aMessage.sender().host())) {
     configurationFreshAt_ =
       std::max(configurationFreshAt_, now - Milliseconds(configuration.age_ms()));
     ForwardConfiguration(now);
   }
 }
 
-bool FleetControl::ActivateFromPeer(uint64_t aVersion,
+bool FleetControl::ActivateFromPeer(const ConfigurationId& aId,
                                     const wire::Document& aDocument,
                                     const std::string& aPeer)
 {
-  if (aVersion <= document_.Version() || aDocument.data().empty()) {
+  if (!IsWanted(aId) || aDocument.data().empty()) {
     return false;
   }
   auto text = document_.Decode(aDocument);
-  return text && ActivateConfiguration(aVersion, std::move(*text), &aDocument, aPeer);
+  return text && ActivateConfiguration(aId.position, std::move(*text), &aDocument, aPeer);
 }
 
 void FleetControl::ForwardConfiguration(TimePoint aNow)
@@ -279,9 +356,9 @@
   }
 }
 
-const wire::Document* FleetControl::SmallDocument(uint64_t aKnownVersion) const
+const wire::Document* FleetControl::SmallDocument(uint64_t aKnownDigest) const
 {
-  const wire::Document& document = document_.Encode(aKnownVersion);
+  const wire::Document& document = document_.Encode(aKnownDigest);
   return document.data().size() <= kMaxSharedDocumentBytes ? &document : nullptr;
 }
 
@@ -293,7 +370,7 @@
 
 Duration FleetControl::ConfigurationLag(TimePoint aNow) const
 {
-  return newestKnownVersion_ > SeenVersion() ? aNow - newerKnownSince_ : Duration(0);
+  return IsWanted(newestKnown_) ? aNow - newerKnownSince_ : Duration(0);
 }
 
 void FleetControl::LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <span>
 #include <thread>
 
@@ -89,21 +90,29 @@
   void OnUpstreamRows(const StoreRows& aRows, bool aIsIncremental);
   void OnConfigurationRows(const Result<StoreRows>& aRows);
   /// Records that a peer has a newer configuration than this host.
-  void RecordNewerConfiguration(uint64_t aVersion, const std::string& aPeer, TimePoint aNow);
+  void RecordNewerConfiguration(const ConfigurationId& aId,
+                                const std::string& aPeer,
+                                TimePoint aNow);
   void LogConfigurationReadFailure(const Error& aError, TimePoint aRequestedAt);
-  /// Store version of the newest configuration that this host has, active or not.
-  uint64_t SeenVersion() const { return std::max(document_.Version(), rejectedVersion_); }
+  /// Whether a configuration would replace the active one.
+  bool IsWanted(const ConfigurationId& aId) const;
+  /// Position after which a watch returns the configurations that this host does not have.
+  StorePosition ConfigurationWatchPosition() const;
+  /// Records that the active configuration was written again.
+  void RebaseConfiguration(StorePosition aPosition, std::string_view aSource);
+  /// Sends the active configuration to a peer whose own one has been replaced for a while.
+  void CorrectConfiguration(const ConfigurationId& aId, const std::string& aPeer, TimePoint aNow);
   /// How long this host has known of a newer configuration than the active one; 0: it knows of
   /// none.
   Duration ConfigurationLag(TimePoint aNow) const;
   /// Activates a configuration that is newer than the active one. @return True if it was activated.
   /// @param aReceived See SharedDocument::Replace().
-  bool ActivateConfiguration(uint64_t aVersion,
+  bool ActivateConfiguration(StorePosition aPosition,
                              std::string aDocument,
                              const wire::Document* aReceived,
                              std::string_view aSource);
   /// Activates the configuration of a peer, if its document fits this host.
-  bool ActivateFromPeer(uint64_t aVersion,
+  bool ActivateFromPeer(const ConfigurationId& aId,
                         const wire::Document& aDocument,
                         const std::string& aPeer);
   /// Gets the newer configuration that a peer has reported, from peers or from the store.
@@ -113,9 +122,10 @@
   void OnRegistryChange(const RegistryChange& aChange, std::string_view aSource);
   void LogUpstreamChanges(const RegistryChange& aChange, std::string_view aSource) const;
   void RecordStoreResult(bool aIsAvailable, const Error* aError);
-  void RecordStoreEpoch(uint64_t aEpoch);
-  /// Logs a configuration of the store that is not activated, once.
-  void LogIgnoredConfiguration(uint64_t aVersion, uint64_t aRevision, std::string_view aReason);
+  /// Records the epoch of the store as of a response or the state of a peer.
+  void RecordStoreEpoch(uint64_t aEpoch, std::string_view aSource);
+  /// Records a configuration that is not activated, so that it is not fetched again.
+  void RejectConfiguration(StorePosition aPosition);
 
   void HandleMessage(std::string_view aBytes);
   void HandleHello(const wire::Envelope& aMessage);
@@ -131,9 +141,9 @@
                 std::span<const std::string> aJoined = {});
   /// Returns the encoded configuration if it is small enough to go along with a view; otherwise
   /// null.
-  /// @param aKnownVersion See SharedDocument::Encode().
-  const wire::Document* SmallDocument(uint64_t aKnownVersion) const;
-  /// The same for all hosts, most of which have the version before.
+  /// @param aKnownDigest See SharedDocument::Encode().
+  const wire::Document* SmallDocument(uint64_t aKnownDigest) const;
+  /// The same for all hosts, most of which have the configuration before.
   const wire::Document* SharedChange() const;
   /// Sends state that this host has read from the store.
   void ShareView(const RegistryChange& aChange,
@@ -194,10 +204,15 @@
   SharedDocument document_;            ///< The active configuration.
   bool isReader_ = false;              ///< This host was the last one to read the store.
   uint32_t readerOrder_ = 0;           ///< Order of the host that was, plus 1; 0: unknown.
-  uint64_t rejectedVersion_ = 0;       ///< Newest store version that was not activated.
+  std::set<StorePosition> rejected_;   ///< The last configurations that were not activated.
+  StorePosition configurationRead_;    ///< Up to which this host has read the configuration.
+  TimePoint activatedAt_{};            ///< When the active configuration became active.
+  TimePoint nextCorrection_{};         ///< See CorrectConfiguration().
+  TimePoint nextWatch_{};              ///< Of the configuration, after a failure.
   std::string newerConfigurationPeer_; ///< The last peer that reported a newer configuration.
   TimePoint configurationFreshAt_{};   ///< When the active configuration was last the newest one.
-  uint64_t newestKnownVersion_ = 0;    ///< Newest store version of a configuration known to a peer.
+  ConfigurationId newestKnown_;        ///< Newest configuration known to a peer.
+  TimePoint newestKnownAt_{};          ///< When a peer last reported it.
   TimePoint newerKnownSince_{};        ///< When this host first heard of a newer configuration.
   bool isNewerLarge_ = false;          ///< Peers send the change to some hosts only.
   uint32_t configurationRequests_ = 0; ///< To peers since then.
@@ -206,9 +221,8 @@
   size_t documentBytes_ = 0;           ///< Of large documents.
   TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
   TimePoint nextConfigurationRead_{};  ///< After a failed read; earlier ones are not worth a call.
-  std::optional<uint64_t> storeEpoch_; ///< Of the last response; nothing before the first one.
-  uint64_t ignoredVersion_ = 0;        ///< See LogIgnoredConfiguration().
-  TimePoint lastDroppedReadLog_{};     ///< Of a read of the upstreams.
+  std::optional<uint64_t> storeEpoch_; ///< The newest one that this host knows of.
+  TimePoint lastDroppedReadLog_{}; ///< Of a read of the upstreams.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
   bool isReadingConfiguration_ = false;
@@ -222,7 +236,7 @@
   bool arePeersConnected_ = false; ///< Since the last change of members or shards.
   bool hasReadMembers_ = false;
   TimePoint membersReadAt_{};
-  uint64_t membersVersion_ = 0; ///< Store version of the members that were read.
+  StorePosition membersPosition_; ///< Of the store, as of the last read of the members.
   TimePoint nextMemberChangesRead_{};
   TimePoint nextMembersRequest_{}; ///< Of the members that a peer knows.
   Duration membersRequestInterval_{ 0 };
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -176,10 +176,9 @@
   hello.set_wants_view(true);
   hello.set_wants_members(aWantsMembers);
   if (registry_.HasState()) {
-    hello.set_registry_version(registry_.Version());
     hello.set_registry_digest(registry_.Digest());
   }
-  hello.set_configuration_version(document_.Version());
+  *hello.mutable_configuration_id() = ToWire(document_.Id());
   Send(aHost, std::move(envelope));
 }
 
@@ -194,7 +193,7 @@
   wire::Envelope envelope;
   *envelope.mutable_sender() = ToWire(members_->Self());
   wire::View& view = *envelope.mutable_view();
-  view.set_version(registry_.Version());
+  *view.mutable_position() = ToWire(registry_.Position());
   view.set_full(aChange == nullptr);
   view.set_digest(registry_.Digest());
   if (aChange == nullptr) {
@@ -211,7 +210,7 @@
   }
   const TimePoint now = Now();
   view.set_registry_age_ms(ToWireMs(now - registry_.FreshAt()));
-  view.set_configuration_version(document_.Version());
+  *view.mutable_configuration_id() = ToWire(document_.Id());
   view.set_configuration_age_ms(ToWireMs(now - configurationFreshAt_));
   view.set_configuration_large(SharedChange() == nullptr);
   if (aConfiguration != nullptr) {
@@ -307,10 +306,10 @@
   if (!registry_.HasState() || revision_ == 0) {
     return;
   }
-  const wire::Document* configuration = hello.configuration_version() < document_.Version()
-                                          ? SmallDocument(hello.configuration_version())
-                                          : nullptr;
-  if (hello.registry_version() != 0 && hello.registry_digest() == registry_.Digest()) {
+  const ConfigurationId known = FromWire(hello.configuration_id());
+  const wire::Document* configuration =
+    document_.Id().IsNewerThan(known) ? SmallDocument(known.digest) : nullptr;
+  if (hello.has_registry_digest() && hello.registry_digest() == registry_.Digest()) {
     const RegistryChange none;
     return SendView({ &host, 1 }, &none, configuration);
   }
@@ -330,7 +329,8 @@
                              RegistryChange& aLocalChange)
 {
   const TimePoint now = Now();
-  if (aView.version() < registry_.Version()) {
+  const StorePosition position = FromWire(aView.position());
+  if (position < registry_.Position()) {
     return true;
   }
   // A view of the state that this host already has only confirms it.
@@ -344,7 +344,7 @@
   }
   const bool fits = registry_.ApplyPeerView(change,
                                             aView.full() && !isKnown,
-                                            aView.version(),
+                                            position,
                                             aView.digest(),
                                             now - Milliseconds(aView.registry_age_ms()),
                                             now,
@@ -378,7 +378,8 @@
   const TimePoint now = Now();
   const TimePoint previousFreshAt = registry_.FreshAt();
   const TimePoint previousConfigurationFreshAt = configurationFreshAt_;
-  const uint64_t previousVersion = registry_.Version();
+  const StorePosition previousPosition = registry_.Position();
+  RecordStoreEpoch(view.position().epoch(), host);
 
   std::vector<std::string> joined;
   for (const wire::Member& member : view.joined()) {
@@ -393,23 +394,26 @@
     nextViewRequest_ = now + kViewRequestInterval;
     AskForState(host, false);
   }
-  const bool isActivated =
-    ActivateFromPeer(view.configuration_version(), view.configuration(), host);
-  if (view.configuration_version() > SeenVersion()) {
+  const ConfigurationId configuration = FromWire(view.configuration_id());
+  const bool isActivated = ActivateFromPeer(configuration, view.configuration(), host);
+  if (IsWanted(configuration)) {
     newerConfigurationPeer_ = host;
     isNewerLarge_ = view.configuration_large();
-    RecordNewerConfiguration(view.configuration_version(), host, now);
+    RecordNewerConfiguration(configuration, host, now);
     FetchConfiguration(now);
-  } else if (view.configuration_version() == document_.Version() && document_.Version() != 0) {
+  } else if (revision_ != 0 && configuration.HasSameText(document_.Id())) {
+    RebaseConfiguration(configuration.position, host);
     configurationFreshAt_ =
       std::max(configurationFreshAt_, now - Milliseconds(view.configuration_age_ms()));
+  } else {
+    CorrectConfiguration(configuration, host, now);
   }
   if (registry_.FreshAt() > previousFreshAt && view.reader_order() != 0) {
     const bool isFresh = view.registry_age_ms() < kMaxReaderAge / Milliseconds(1);
     isReader_ = isReader_ && !(isFresh && view.reader_order() < readerOrder_);
     readerOrder_ = isReader_ ? readerOrder_ : view.reader_order();
   }
-  const bool isNews = registry_.Version() > previousVersion || !localChange.Empty() ||
+  const bool isNews = registry_.Position() > previousPosition || !localChange.Empty() ||
                       isActivated || !joined.empty() ||
                       registry_.FreshAt() > previousFreshAt + kMinFreshnessGain ||
                       configurationFreshAt_ > previousConfigurationFreshAt + kMinFreshnessGain;
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -122,24 +122,28 @@
         { "peer", aError == nullptr ? "" : aError->peer },
         { "error", aError == nullptr ? "" : aError->code.message() },
         { "detail", aError == nullptr ? "" : aError->detail },
-        { "registry_version", registry_.Version() },
+        { "registry_version", registry_.Position().version },
         { "revision", revision_ } });
 }
 
-void FleetControl::RecordStoreEpoch(uint64_t aEpoch)
+void FleetControl::RecordStoreEpoch(uint64_t aEpoch, std::string_view aSource)
 {
+  if (storeEpoch_ && aEpoch <= *storeEpoch_) {
+    return;
+  }
   const std::optional<uint64_t> previous = std::exchange(storeEpoch_, aEpoch);
-  if (!previous || *previous == aEpoch) {
+  if (!previous) {
     return;
   }
   Log(LogLevel::Warning,
       "store_epoch_changed",
       { { "epoch", aEpoch },
         { "previous", *previous },
-        { "source", "store" },
-        { "registry_version", registry_.Version() },
-        { "configuration_version", document_.Version() },
-        { "revision", revision_ } });
+        { "source", aSource },
+        { "registry_version", registry_.Position().version },
+        { "registry_epoch", registry_.Position().epoch },
+        { "revision", revision_ },
+        { "configuration_version", document_.Id().position.version } });
 }
 
 /// Writes the row of this host, then reads the rows of all members.
@@ -151,7 +155,7 @@
                        self.host,
                        SerializeMember(self),
                        kStoreDeadline,
-                       [this](const Result<uint64_t>& aResult) {
+                       [this](const Result<StorePosition>& aResult) {
                          if (!aResult) {
                            return OnMembersFailure(aResult.Failure());
                          }
@@ -193,7 +197,7 @@
     }
     hasReadMembers_ = true;
     membersReadAt_ = Now();
-    membersVersion_ = aRows->version;
+    membersPosition_ = aRows->position;
     for (const StoreRow& row : aRows->rows) {
       wire::Member member;
       if (!member.ParseFromString(row.value) || member.host() != row.key) {
@@ -220,7 +224,7 @@
   nextMemberChangesRead_ = now + kMemberChangesInterval;
   platform_.store->Watch(
     kMembersTable,
-    membersVersion_,
+    membersPosition_,
     Duration(0),
     kStoreDeadline,
     [this](const Result<StoreRows>& aRows) {
@@ -230,7 +234,7 @@
         nextMembersRead_ = isHistoryGone ? Now() : nextMembersRead_;
         return;
       }
-      membersVersion_ = std::max(membersVersion_, aRows->version);
+      membersPosition_ = std::max(membersPosition_, aRows->position);
       std::vector<std::string> joined;
       for (const StoreRow& row : aRows->rows) {
         wire::Member member;
@@ -270,7 +274,7 @@
   };
   if (isIncremental) {
     platform_.store->Watch(platform_.upstreamTable,
-                           registry_.Version(),
+                           registry_.Position(),
                            Duration(0),
                            kStoreDeadline,
                            std::move(callback));
@@ -296,20 +300,20 @@
           { { "upstream", row.key }, { "detail", upstream.Failure().detail } });
     }
   }
-  if (aRows.version < registry_.Version() &&
+  if (aRows.position < registry_.Position() &&
       Now() - lastDroppedReadLog_ >= kDroppedReadLogInterval) {
     lastDroppedReadLog_ = Now();
     Log(LogLevel::Warning,
         "upstreams_read_dropped",
-        { { "version", aRows.version },
-          { "epoch", aRows.epoch },
-          { "registry_version", registry_.Version() },
-          { "upstreams", aRows.rows.size() },
-          { "reason", "the state of this host has a higher version" } });
+        { { "version", aRows.position.version },
+          { "epoch", aRows.position.epoch },
+          { "registry_version", registry_.Position().version },
+          { "registry_epoch", registry_.Position().epoch },
+          { "upstreams", aRows.rows.size() } });
   }
   const RegistryChange change = aIsIncremental
-                                  ? registry_.ApplyChanges(entries, aRows.version, Now())
-                                  : registry_.ApplySnapshot(entries, aRows.version, Now());
+                                  ? registry_.ApplyChanges(entries, aRows.position, Now())
+                                  : registry_.ApplySnapshot(entries, aRows.position, Now());
   isReader_ = true;
   readerOrder_ = static_cast<uint32_t>(spreader_->Tree().Order() + 1);
   OnRegistryChange(change, "store");
@@ -324,13 +328,13 @@
         { { "upstream", upstream.id },
           { "service", upstream.service },
           { "draining", upstream.isDraining },
-          { "version", registry_.Version() },
+          { "version", registry_.Position().version },
           { "source", aSource } });
   }
   for (const std::string& id : aChange.removed) {
     Log(LogLevel::Info,
         "upstream_removed",
-        { { "upstream", id }, { "version", registry_.Version() }, { "source", aSource } });
+        { { "upstream", id }, { "version", registry_.Position().version }, { "source", aSource } });
   }
 }
 
@@ -345,7 +349,7 @@
         { { "changed", aChange.changed.size() },
           { "removed", aChange.removed.size() },
           { "upstreams", registry_.Upstreams().size() },
-          { "version", registry_.Version() },
+          { "version", registry_.Position().version },
           { "source", aSource } });
   } else {
     LogUpstreamChanges(aChange, aSource);
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -43,6 +43,33 @@
            aMember.failure_domain(), aMember.incarnation(), aMember.capacity() };
 }
 
+wire::StorePosition ToWire(const StorePosition& aPosition)
+{
+  wire::StorePosition position;
+  position.set_epoch(aPosition.epoch);
+  position.set_version(aPosition.version);
+  return position;
+}
+
+StorePosition FromWire(const wire::StorePosition& aPosition)
+{
+  return { aPosition.epoch(), aPosition.version() };
+}
+
+wire::ConfigurationId ToWire(const ConfigurationId& aId)
+{
+  wire::ConfigurationId id;
+  id.set_revision(aId.revision);
+  *id.mutable_position() = ToWire(aId.position);
+  id.set_digest(aId.digest);
+  return id;
+}
+
+ConfigurationId FromWire(const wire::ConfigurationId& aId)
+{
+  return { aId.revision(), FromWire(aId.position()), aId.digest() };
+}
+
 wire::Upstream ToWire(const RegisteredUpstream& aUpstream)
 {
   wire::Upstream upstream;
--- a/packages/fleet/src/messages_p.h
+++ b/packages/fleet/src/messages_p.h
@@ -4,11 +4,16 @@
 #include "fleet.pb.h"
 #include "members_p.h"
 #include "registry_p.h"
+#include "shared_document_p.h"
 
 namespace bg::fleet::detail {
 
 wire::Member ToWire(const Member& aMember);
 Member FromWire(const wire::Member& aMember);
+wire::StorePosition ToWire(const StorePosition& aPosition);
+StorePosition FromWire(const wire::StorePosition& aPosition);
+wire::ConfigurationId ToWire(const ConfigurationId& aId);
+ConfigurationId FromWire(const wire::ConfigurationId& aId);
 wire::Upstream ToWire(const RegisteredUpstream& aUpstream);
 RegisteredUpstream FromWire(const wire::Upstream& aUpstream);
 
--- a/packages/fleet/src/metered_store.cpp
+++ b/packages/fleet/src/metered_store.cpp
@@ -44,7 +44,7 @@
            const Result<StoreRows>& aRows) {
     CountCall((*calls)[static_cast<size_t>(aOperation)], aRows ? nullptr : &aRows.Failure());
     if (aRows) {
-      onEpoch(aRows->epoch);
+      onEpoch(aRows->position.epoch);
     }
     aCallback(aRows);
   };
@@ -55,8 +55,16 @@
   store_->Read(aTable, aDeadline, Metered(StoreOperation::Read, std::move(aCallback)));
 }
 
+void MeteredStore::ReadRow(std::string_view aTable,
+                           std::string_view aKey,
+                           Duration aDeadline,
+                           Callback<StoreRows> aCallback)
+{
+  store_->ReadRow(aTable, aKey, aDeadline, Metered(StoreOperation::Read, std::move(aCallback)));
+}
+
 void MeteredStore::Watch(std::string_view aTable,
-                         uint64_t aAfter,
+                         StorePosition aAfter,
                          Duration aWait,
                          Duration aDeadline,
                          Callback<StoreRows> aCallback)
@@ -69,16 +77,20 @@
                        std::string_view aKey,
                        std::string_view aValue,
                        Duration aDeadline,
-                       Callback<uint64_t> aCallback)
+                       Callback<StorePosition> aCallback)
 {
   store_->Put(aTable,
               aKey,
               aValue,
               aDeadline,
-              [calls = calls_, aCallback = std::move(aCallback)](const Result<uint64_t>& aVersion) {
+              [calls = calls_, onEpoch = onEpoch_, aCallback = std::move(aCallback)](
+                const Result<StorePosition>& aPosition) {
                 CountCall((*calls)[static_cast<size_t>(StoreOperation::Put)],
-                          aVersion ? nullptr : &aVersion.Failure());
-                aCallback(aVersion);
+                          aPosition ? nullptr : &aPosition.Failure());
+                if (aPosition) {
+                  onEpoch(aPosition->epoch);
+                }
+                aCallback(aPosition);
               });
 }
 
--- a/packages/fleet/src/metered_store_p.h
+++ b/packages/fleet/src/metered_store_p.h
@@ -25,7 +25,7 @@
   uint64_t succeeded = 0;
   uint64_t refused = 0;     ///< Not executed.
   uint64_t unanswered = 0;  ///< No response, or one that cannot be read.
-  uint64_t historyGone = 0; ///< The changes since a version are no longer available.
+  uint64_t historyGone = 0; ///< The changes since a position are not available.
 };
 
 /// Counts the calls to a store and reports the epoch of its responses.
@@ -34,12 +34,16 @@
 public:
   using Counts = std::array<StoreCalls, static_cast<size_t>(StoreOperation::Count)>;
 
-  /// @param aOnEpoch Called before the callback of each successful read and watch.
+  /// @param aOnEpoch Called before the callback of each successful call.
   MeteredStore(std::unique_ptr<RowStore> aStore, std::function<void(uint64_t)> aOnEpoch);
 
   void Read(std::string_view aTable, Duration aDeadline, Callback<StoreRows> aCallback) override;
+  void ReadRow(std::string_view aTable,
+               std::string_view aKey,
+               Duration aDeadline,
+               Callback<StoreRows> aCallback) override;
   void Watch(std::string_view aTable,
-             uint64_t aAfter,
+             StorePosition aAfter,
              Duration aWait,
              Duration aDeadline,
              Callback<StoreRows> aCallback) override;
@@ -47,7 +51,7 @@
            std::string_view aKey,
            std::string_view aValue,
            Duration aDeadline,
-           Callback<uint64_t> aCallback) override;
+           Callback<StorePosition> aCallback) override;
 
   /// Finished calls by operation.
   const Counts& Calls() const { return *calls_; }
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -32,23 +32,30 @@
 {
 }
 
-bool Registry::IsStale(const RegisteredUpstream& aUpstream) const
+bool Registry::IsStale(const RegisteredUpstream& aUpstream, TimePoint aNow) const
 {
   if (aUpstream.startedAtMs == 0) {
     return false; // Runs with the same id cannot be distinguished.
   }
-  if (const auto current = upstreams_.find(aUpstream.id); current != upstreams_.end()) {
-    return current->second.startedAtMs == aUpstream.startedAtMs &&
-           current->second.sequence > aUpstream.sequence;
-  }
+  const auto current = upstreams_.find(aUpstream.id);
   const auto tombstone = tombstones_.find(aUpstream.id);
-  return tombstone != tombstones_.end() && tombstone->second.startedAtMs == aUpstream.startedAtMs &&
-         tombstone->second.sequence > aUpstream.sequence;
+  const bool isRemoved = current == upstreams_.end();
+  if (isRemoved && tombstone == tombstones_.end()) {
+    return false;
+  }
+  const int64_t startedAtMs =
+    isRemoved ? tombstone->second.startedAtMs : current->second.startedAtMs;
+  const uint64_t sequence = isRemoved ? tombstone->second.sequence : current->second.sequence;
+  if (startedAtMs == aUpstream.startedAtMs) {
+    // The last report of a removed upstream does not bring it back.
+    return sequence > aUpstream.sequence || (isRemoved && sequence == aUpstream.sequence);
+  }
+  return aNow < restoreEnd_ && aUpstream.startedAtMs < startedAtMs;
 }
 
 void Registry::Upsert(const RegisteredUpstream& aUpstream, TimePoint aNow, RegistryChange& aChange)
 {
-  if (IsStale(aUpstream)) {
+  if (IsStale(aUpstream, aNow)) {
     return;
   }
   missingFromStore_.erase(aUpstream.id);
@@ -78,24 +85,36 @@
   upstreams_.erase(current);
 }
 
-bool Registry::RecordRead(uint64_t aVersion, TimePoint aNow)
+bool Registry::RecordRead(StorePosition aPosition, TimePoint aNow)
 {
   if (hasState_ && aNow - lastRead_ > init_.outageThreshold &&
       aNow - freshAt_ > init_.outageThreshold) {
     reregistrationEnd_ = aNow + init_.reregistrationGrace;
   }
   lastRead_ = aNow;
-  if (aVersion < version_) {
+  if (aPosition < position_) {
     return false;
   }
-  freshAt_ = aNow;
+  EnterEpoch(aPosition.epoch, aNow);
+  position_ = aPosition;
   hasState_ = true;
-  version_ = aVersion;
+  freshAt_ = aNow;
   std::erase_if(tombstones_,
                 [aNow](const auto& aEntry) { return aEntry.second.expiresAt <= aNow; });
   return true;
 }
 
+void Registry::EnterEpoch(uint64_t aEpoch, TimePoint aNow)
+{
+  if (!hasState_ || aEpoch <= position_.epoch) {
+    return;
+  }
+  restoreEnd_ = aNow + init_.reregistrationGrace;
+  reregistrationEnd_ = restoreEnd_;
+  position_ = { aEpoch, 0 };
+  RequireFullRead();
+}
+
 void Registry::RemoveMissing(TimePoint aNow, RegistryChange& aChange)
 {
   if (aNow < reregistrationEnd_) {
@@ -107,11 +126,11 @@
 }
 
 RegistryChange Registry::ApplySnapshot(std::span<const EntryChange> aEntries,
-                                       uint64_t aVersion,
+                                       StorePosition aPosition,
                                        TimePoint aNow)
 {
   RegistryChange change;
-  if (!RecordRead(aVersion, aNow)) {
+  if (!RecordRead(aPosition, aNow)) {
     return change;
   }
   lastFullRead_ = aNow;
@@ -135,11 +154,15 @@
 }
 
 RegistryChange Registry::ApplyChanges(std::span<const EntryChange> aChanges,
-                                      uint64_t aVersion,
+                                      StorePosition aPosition,
                                       TimePoint aNow)
 {
   RegistryChange change;
-  if (!RecordRead(aVersion, aNow)) {
+  if (aPosition.epoch != position_.epoch) {
+    RequireFullRead(); // The changes of one epoch do not apply to a state of another.
+    return change;
+  }
+  if (!RecordRead(aPosition, aNow)) {
     return change;
   }
   for (const EntryChange& entry : aChanges) {
@@ -155,16 +178,17 @@
 
 bool Registry::ApplyPeerView(const RegistryChange& aChange,
                              bool aIsSnapshot,
-                             uint64_t aVersion,
+                             StorePosition aPosition,
                              uint64_t aDigest,
                              TimePoint aFreshAt,
                              TimePoint aNow,
                              RegistryChange& aLocalChange)
 {
   aLocalChange = {};
-  if (aVersion < version_) {
+  if (aPosition < position_) {
     return true;
   }
+  EnterEpoch(aPosition.epoch, aNow);
   std::vector<std::string> removed(aChange.removed);
   if (aIsSnapshot) {
     // The snapshot may hold entries that the store has deleted, so changes alone do not suffice.
@@ -174,7 +198,12 @@
       present.insert(upstream.id);
     }
     for (const auto& [id, upstream] : upstreams_) {
-      if (!present.contains(id)) {
+      if (present.contains(id)) {
+        continue;
+      }
+      if (aNow < restoreEnd_) {
+        missingFromStore_.insert(id); // The peer may have started from the restored copy.
+      } else {
         removed.push_back(id);
       }
     }
@@ -189,7 +218,7 @@
     return false;
   }
   hasState_ = true;
-  version_ = aVersion;
+  position_ = aPosition;
   freshAt_ = std::max(freshAt_, aFreshAt);
   return true;
 }
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -29,8 +29,8 @@
 
 struct RegistryInit
 {
-  /// After an outage of the store, missing entries are kept for this long, so that upstreams whose
-  /// entries expired during the outage can register again.
+  /// After an outage or a restore of the store, missing entries are kept for this long, so that
+  /// upstreams whose entries have expired or were lost can register again.
   Duration reregistrationGrace = Milliseconds(2200);
   /// Time without a read of the store that counts as an outage. Entries that are missing after it
   /// may have expired although their upstreams are still running.
@@ -48,7 +48,9 @@
 
 /// The registered upstreams as read from the store or received from peers.
 ///
-/// States are ordered by the version of the store; an older state never replaces a newer one.
+/// States are ordered by the position of the store; an older state never replaces a newer one.
+/// After a restore of the store, entries that are missing from the copy are kept until their
+/// upstreams can write them again, and the copy brings back neither older reports nor earlier runs.
 /// Reports of one run of an upstream are ordered by their sequence number, because the store may
 /// perform writes late and out of order.
 class Registry
@@ -58,16 +60,16 @@
 
   /// Replaces the state by all entries of the store, as read by this host.
   RegistryChange ApplySnapshot(std::span<const EntryChange> aEntries,
-                               uint64_t aVersion,
+                               StorePosition aPosition,
                                TimePoint aNow);
 
-  /// Whether it suffices to read the changes since Version(); otherwise all entries must be read.
+  /// Whether it suffices to read the changes since Position(); otherwise all entries must be read.
   bool CanReadChanges(TimePoint aNow) const;
   void RequireFullRead() { lastFullRead_ = TimePoint{}; }
-  /// Applies the changes in the store since Version(), as read by this host, in their order. An
+  /// Applies the changes in the store since Position(), as read by this host, in their order. An
   /// entry may occur more than once.
   RegistryChange ApplyChanges(std::span<const EntryChange> aChanges,
-                              uint64_t aVersion,
+                              StorePosition aPosition,
                               TimePoint aNow);
 
   /// Applies changes or a full snapshot from a peer.
@@ -77,7 +79,7 @@
   /// @return False if the state still differs from the peer's, so that a full snapshot is needed.
   bool ApplyPeerView(const RegistryChange& aChange,
                      bool aIsSnapshot,
-                     uint64_t aVersion,
+                     StorePosition aPosition,
                      uint64_t aDigest,
                      TimePoint aFreshAt,
                      TimePoint aNow,
@@ -90,8 +92,8 @@
   const RegisteredUpstream* Find(std::string_view aId) const;
   /// False until the first read of the store or view of a peer.
   bool HasState() const { return hasState_; }
-  /// Version of the store that the state reflects.
-  uint64_t Version() const { return version_; }
+  /// Position of the store that the state reflects.
+  StorePosition Position() const { return position_; }
   /// When the state was last confirmed to be the newest of the store.
   TimePoint FreshAt() const { return freshAt_; }
   /// Digest of all upstreams, independent of their order, without sequence and warm-up time.
@@ -110,21 +112,25 @@
 
   void Upsert(const RegisteredUpstream& aUpstream, TimePoint aNow, RegistryChange& aChange);
   void Remove(const std::string& aId, TimePoint aNow, RegistryChange& aChange);
-  bool IsStale(const RegisteredUpstream& aUpstream) const;
+  /// Whether a newer report of the upstream is known.
+  bool IsStale(const RegisteredUpstream& aUpstream, TimePoint aNow) const;
   /// Records a read of the store. @return False if the state is already newer than the response.
-  bool RecordRead(uint64_t aVersion, TimePoint aNow);
+  bool RecordRead(StorePosition aPosition, TimePoint aNow);
+  /// Starts the time in which upstreams write lost entries again, if the epoch is new.
+  void EnterEpoch(uint64_t aEpoch, TimePoint aNow);
   void RemoveMissing(TimePoint aNow, RegistryChange& aChange);
 
   RegistryInit init_;
   std::map<std::string, RegisteredUpstream, std::less<>> upstreams_;
   std::map<std::string, TimePoint, std::less<>> warmupEnd_;
   uint64_t digest_ = 0;
-  uint64_t version_ = 0;
+  StorePosition position_;
   bool hasState_ = false;
   TimePoint freshAt_{};
   TimePoint lastRead_{};          ///< Last read of the store by this host.
   TimePoint lastFullRead_{};      ///< Last read of all entries; reset by RequireFullRead().
   TimePoint reregistrationEnd_{}; ///< Until then missing entries are kept after an outage.
+  TimePoint restoreEnd_{};        ///< The same after a restore of the store.
   std::set<std::string, std::less<>>
     missingFromStore_; ///< Upstreams kept without an entry in the store.
   std::map<std::string, Tombstone, std::less<>> tombstones_;
--- a/packages/fleet/src/shared_document.cpp
+++ b/packages/fleet/src/shared_document.cpp
@@ -23,10 +23,10 @@
   return aText.substr(0, std::min(end == std::string_view::npos ? end : end + 1, kMaxPieceBytes));
 }
 
-wire::Document Compress(std::string_view aBytes, uint64_t aBaseVersion, std::string_view aText)
+wire::Document Compress(std::string_view aBytes, uint64_t aBaseDigest, std::string_view aText)
 {
   wire::Document document;
-  document.set_base_version(aBaseVersion);
+  document.set_base_digest(aBaseDigest);
   document.set_digest(Hash64(aText));
   document.set_size(static_cast<uint32_t>(aBytes.size()));
   document.set_data(CompressBytes(aBytes));
@@ -85,22 +85,24 @@
   return text;
 }
 
-void SharedDocument::Replace(uint64_t aVersion, std::string aText, const wire::Document* aReceived)
+void SharedDocument::Replace(const ConfigurationId& aId,
+                             std::string aText,
+                             const wire::Document* aReceived)
 {
   patch_.Clear();
-  if (aReceived != nullptr && aReceived->base_version() != 0) {
+  if (aReceived != nullptr && aReceived->base_digest() != 0) {
     patch_ = *aReceived;
-  } else if (version_ != 0) {
-    patch_ = Compress(MakePatch(text_, aText).SerializeAsString(), version_, aText);
+  } else if (id_.revision != 0) {
+    patch_ = Compress(MakePatch(text_, aText).SerializeAsString(), id_.digest, aText);
   }
   whole_.Clear();
-  version_ = aVersion;
+  id_ = aId;
   text_ = std::move(aText);
 }
 
-const wire::Document& SharedDocument::Encode(uint64_t aKnownVersion) const
+const wire::Document& SharedDocument::Encode(uint64_t aKnownDigest) const
 {
-  if (aKnownVersion != 0 && aKnownVersion == patch_.base_version()) {
+  if (aKnownDigest != 0 && aKnownDigest == patch_.base_digest()) {
     return patch_;
   }
   if (whole_.data().empty()) {
@@ -112,11 +114,11 @@
 std::optional<std::string> SharedDocument::Decode(const wire::Document& aDocument) const
 {
   if (aDocument.size() > kMaxDocumentBytes ||
-      (aDocument.base_version() != 0 && aDocument.base_version() != version_)) {
+      (aDocument.base_digest() != 0 && aDocument.base_digest() != id_.digest)) {
     return std::nullopt;
   }
   std::optional<std::string> text = DecompressBytes(aDocument.data(), aDocument.size());
-  if (text && aDocument.base_version() != 0) {
+  if (text && aDocument.base_digest() != 0) {
     wire::Patch patch;
     text = patch.ParseFromString(*text) ? ApplyPatch(text_, patch) : std::nullopt;
   }
--- a/packages/fleet/src/shared_document_p.h
+++ b/packages/fleet/src/shared_document_p.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
+#include "boragegauge/fleet.h"
 #include "fleet.pb.h"
 
 namespace bg::fleet::detail {
@@ -12,33 +14,53 @@
 /// Upper limit of the size of a document, in bytes.
 constexpr size_t kMaxDocumentBytes = 16UL << 20;
 
-/// A versioned document that hosts pass on to each other: as a patch to a host that has the version
-/// before, otherwise as a whole. Both are compressed, each at most once a version.
+/// Identifies a configuration. Revisions order configurations over restores of the store; of one
+/// revision, the last one that was written is the newest.
+struct ConfigurationId
+{
+  uint64_t revision = 0;  ///< Set by the operator; 0: no configuration.
+  StorePosition position; ///< Of the row.
+  uint64_t digest = 0;    ///< Of the text.
+
+  bool IsNewerThan(const ConfigurationId& aOther) const
+  {
+    return std::tie(revision, position) > std::tie(aOther.revision, aOther.position);
+  }
+  bool HasSameText(const ConfigurationId& aOther) const
+  {
+    return revision == aOther.revision && digest == aOther.digest;
+  }
+};
+
+/// A configuration that hosts pass on to each other: as a patch to a host that has the one before,
+/// otherwise as a whole. Both are compressed, each at most once a configuration.
 class SharedDocument
 {
 public:
-  uint64_t Version() const { return version_; }
+  const ConfigurationId& Id() const { return id_; }
   const std::string& Text() const { return text_; }
 
-  /// Replaces the document by a newer version of it.
+  /// Replaces the document by a newer one.
   /// @param aReceived The encoded form in which a peer has sent it; null: it was not sent by a
   /// peer.
-  void Replace(uint64_t aVersion, std::string aText, const wire::Document* aReceived);
+  void Replace(const ConfigurationId& aId, std::string aText, const wire::Document* aReceived);
+  /// Records that the same text was written again at another position.
+  void SetPosition(StorePosition aPosition) { id_.position = aPosition; }
 
   /// Encodes the document for a receiver.
-  /// @param aKnownVersion Version that the receiver has; 0: none.
-  const wire::Document& Encode(uint64_t aKnownVersion) const;
-  /// Version to which the patch of Encode() applies; 0: there is none.
-  uint64_t PatchBase() const { return patch_.base_version(); }
+  /// @param aKnownDigest Digest of the text that the receiver has; 0: none.
+  const wire::Document& Encode(uint64_t aKnownDigest) const;
+  /// Digest of the text to which the patch of Encode() applies; 0: there is none.
+  uint64_t PatchBase() const { return patch_.base_digest(); }
 
-  /// Decodes a document. @return Nothing if it is malformed or a patch of another version than this
+  /// Decodes a document. @return Nothing if it is malformed or a patch of another text than this
   /// one.
   std::optional<std::string> Decode(const wire::Document& aDocument) const;
 
 private:
-  uint64_t version_ = 0;
+  ConfigurationId id_;
   std::string text_;
-  wire::Document patch_;         ///< From the version before; without data if there is none.
+  wire::Document patch_;         ///< From the text before; without data if there is none.
   mutable wire::Document whole_; ///< Without data until it is needed.
 };
 
--- a/packages/fleet/tests/fake_row_store.h
+++ b/packages/fleet/tests/fake_row_store.h
@@ -14,10 +14,11 @@
 class FakeTables
 {
 public:
-  void Put(const std::string& aTable, const std::string& aKey, std::string aValue)
+  StorePosition Put(const std::string& aTable, const std::string& aKey, std::string aValue)
   {
     const std::lock_guard lock(mutex_);
     Write(aTable, { aKey, std::move(aValue), ++state_.version, false });
+    return { state_.epoch, state_.version };
   }
 
   void Remove(const std::string& aTable, const std::string& aKey)
@@ -59,7 +60,7 @@
   StoreRows Read(const std::string& aTable)
   {
     const std::lock_guard lock(mutex_);
-    StoreRows rows{ {}, state_.version, state_.epoch };
+    StoreRows rows{ {}, { state_.epoch, state_.version } };
     for (const auto& [key, row] : state_.tables[aTable]) {
       if (!row.isDeleted) {
         rows.rows.push_back(row);
@@ -68,15 +69,16 @@
     return rows;
   }
 
-  Result<StoreRows> ChangesAfter(const std::string& aTable, uint64_t aVersion)
+  Result<StoreRows> ChangesAfter(const std::string& aTable, StorePosition aAfter)
   {
     const std::lock_guard lock(mutex_);
-    if (aVersion < state_.historyStart || aVersion > state_.version) {
-      return Error{ Errc::NotFound, "fake.watch", "", "no such version" };
+    if (aAfter.epoch != state_.epoch || aAfter.version < state_.historyStart ||
+        aAfter.version > state_.version) {
+      return Error{ Errc::NotFound, "fake.watch", "", "no such position" };
     }
-    StoreRows rows{ {}, state_.version, state_.epoch };
+    StoreRows rows{ {}, { state_.epoch, state_.version } };
     for (const StoreRow& row : state_.changes[aTable]) {
-      if (row.version > aVersion) {
+      if (row.version > aAfter.version) {
         rows.rows.push_back(row);
       }
     }
@@ -141,8 +143,23 @@
     });
   }
 
+  void ReadRow(std::string_view aTable,
+               std::string_view aKey,
+               Duration aDeadline,
+               Callback<StoreRows> aCallback) override
+  {
+    Read(aTable,
+         aDeadline,
+         [key = std::string(aKey), aCallback = std::move(aCallback)](Result<StoreRows> aRows) {
+           if (aRows) {
+             std::erase_if(aRows->rows, [&](const StoreRow& aRow) { return aRow.key != key; });
+           }
+           aCallback(std::move(aRows));
+         });
+  }
+
   void Watch(std::string_view aTable,
-             uint64_t aAfter,
+             StorePosition aAfter,
              Duration aWait,
              Duration aDeadline,
              Callback<StoreRows> aCallback) override
@@ -161,14 +178,15 @@
            std::string_view aKey,
            std::string_view aValue,
            Duration /*aDeadline*/,
-           Callback<uint64_t> aCallback) override
+           Callback<StorePosition> aCallback) override
   {
     ++faults_.writes;
     if (faults_.refuses) {
       return Refuse(std::move(aCallback));
     }
-    tables_.Put(std::string(aTable), std::string(aKey), std::string(aValue));
-    After(Duration(0), [aCallback = std::move(aCallback)] { aCallback(uint64_t{ 1 }); });
+    const StorePosition position =
+      tables_.Put(std::string(aTable), std::string(aKey), std::string(aValue));
+    After(Duration(0), [position, aCallback = std::move(aCallback)] { aCallback(position); });
   }
 
 private:
@@ -188,7 +206,7 @@
   }
 
   void Poll(std::string aTable,
-            uint64_t aAfter,
+            StorePosition aAfter,
             TimePoint aUntil,
             Duration aDeadline,
             Callback<StoreRows> aCallback)
--- a/packages/fleet/tests/metered_store_test.cpp
+++ b/packages/fleet/tests/metered_store_test.cpp
@@ -23,8 +23,15 @@
   {
     aCallback(result_);
   }
+  void ReadRow(std::string_view /*aTable*/,
+               std::string_view /*aKey*/,
+               Duration /*aDeadline*/,
+               Callback<StoreRows> aCallback) override
+  {
+    aCallback(result_);
+  }
   void Watch(std::string_view /*aTable*/,
-             uint64_t /*aAfter*/,
+             StorePosition /*aAfter*/,
              Duration /*aWait*/,
              Duration /*aDeadline*/,
              Callback<StoreRows> aCallback) override
@@ -35,9 +42,9 @@
            std::string_view /*aKey*/,
            std::string_view /*aValue*/,
            Duration /*aDeadline*/,
-           Callback<uint64_t> aCallback) override
+           Callback<StorePosition> aCallback) override
   {
-    result_ ? aCallback(result_->version) : aCallback(result_.Failure());
+    result_ ? aCallback(result_->position) : aCallback(result_.Failure());
   }
 
 private:
@@ -58,7 +65,7 @@
         store.Read("table", Duration(0), [&](const auto&) { ++callbacks; });
         break;
       case StoreOperation::Watch:
-        store.Watch("table", 0, Duration(0), Duration(0), [&](const auto&) { ++callbacks; });
+        store.Watch("table", {}, Duration(0), Duration(0), [&](const auto&) { ++callbacks; });
         break;
       default:
         store.Put("table", "key", "value", Duration(0), [&](const auto&) { ++callbacks; });
@@ -69,11 +76,10 @@
   for (const auto operation :
        { StoreOperation::Read, StoreOperation::Watch, StoreOperation::Put }) {
     CAPTURE(ToString(operation));
-    CHECK(callWith(StoreRows{ {}, 7, 3 }, operation).succeeded == 1);
+    CHECK(callWith(StoreRows{ {}, { 3, 7 } }, operation).succeeded == 1);
     CHECK(callWith(Error{ Errc::Unavailable, "", "", "" }, operation).refused == 1);
     CHECK(callWith(Error{ Errc::OutcomeUnknown, "", "", "" }, operation).unanswered == 1);
     CHECK(callWith(Error{ Errc::NotFound, "", "", "" }, operation).historyGone == 1);
   }
-  // Reads and watches report the epoch of the rows.
-  CHECK(epochs == std::vector<uint64_t>{ 3, 3 });
+  CHECK(epochs == std::vector<uint64_t>{ 3, 3, 3 });
 }
--- a/packages/fleet/tests/shared_document_test.cpp
+++ b/packages/fleet/tests/shared_document_test.cpp
@@ -15,6 +15,11 @@
          aTimeout + "\"},";
 }
 
+ConfigurationId Id(uint64_t aRevision, const std::string& aText)
+{
+  return { aRevision, { 1, aRevision }, Hash64(aText) };
+}
+
 std::string Routes(size_t aCount)
 {
   std::string text;
@@ -32,13 +37,13 @@
   SharedDocument sender;
   SharedDocument receiver;
   const std::string first = "{\"version\":1}" + Routes(kRoutes);
-  sender.Replace(1, first, nullptr);
-  const auto isPassedOn = [&](uint64_t aVersion, const std::string& aText) {
-    const wire::Document& document = sender.Encode(receiver.Version());
+  sender.Replace(Id(1, first), first, nullptr);
+  const auto isPassedOn = [&](uint64_t aRevision, const std::string& aText) {
+    const wire::Document& document = sender.Encode(receiver.Id().digest);
     const auto text = receiver.Decode(document);
     REQUIRE(text);
     CHECK(*text == aText);
-    receiver.Replace(aVersion, *text, &document);
+    receiver.Replace(Id(aRevision, *text), *text, &document);
     return document.data().size();
   };
 
@@ -53,40 +58,40 @@
       second.replace(second.find(Route(1234)), Route(1234).size(), Route(1234, "750ms"));
       second.erase(second.find(Route(7)), Route(7).size());
       second += Route(kRoutes);
-      sender.Replace(2, second, nullptr);
+      sender.Replace(Id(2, second), second, nullptr);
       CHECK(isPassedOn(2, second) < 400);
 
       SUBCASE("which the receiver passes on as it got them")
       {
         SharedDocument next;
-        next.Replace(1, first, nullptr);
-        const auto text = next.Decode(receiver.Encode(1));
+        next.Replace(Id(1, first), first, nullptr);
+        const auto text = next.Decode(receiver.Encode(Hash64(first)));
         REQUIRE(text);
         CHECK(*text == second);
       }
     }
     SUBCASE("and is replaced as a whole at a host that has missed a version")
     {
-      sender.Replace(2, first + Route(kRoutes), nullptr);
-      sender.Replace(3, first + Route(kRoutes + 1), nullptr);
+      sender.Replace(Id(2, first + Route(kRoutes)), first + Route(kRoutes), nullptr);
+      sender.Replace(Id(3, first + Route(kRoutes + 1)), first + Route(kRoutes + 1), nullptr);
       CHECK(isPassedOn(3, first + Route(kRoutes + 1)) > 400);
     }
     SUBCASE("and may become empty or another one")
     {
-      sender.Replace(2, "x", nullptr);
+      sender.Replace(Id(2, "x"), "x", nullptr);
       isPassedOn(2, "x");
-      sender.Replace(3, first + first, nullptr);
+      sender.Replace(Id(3, first + first), first + first, nullptr);
       isPassedOn(3, first + first);
     }
   }
   SUBCASE("is not taken")
   {
-    sender.Replace(2, first + Route(kRoutes), nullptr);
-    receiver.Replace(1, first, nullptr);
-    wire::Document document = sender.Encode(1);
-    SUBCASE("if it is a patch of another version")
+    sender.Replace(Id(2, first + Route(kRoutes)), first + Route(kRoutes), nullptr);
+    receiver.Replace(Id(1, first), first, nullptr);
+    wire::Document document = sender.Encode(Hash64(first));
+    SUBCASE("if it is a patch of another text")
     {
-      document.set_base_version(9);
+      document.set_base_digest(9);
     }
     SUBCASE("if its text differs from that of the sender")
     {
--- a/packages/fleet/tests/slot_client_test.cpp
+++ b/packages/fleet/tests/slot_client_test.cpp
@@ -112,7 +112,7 @@
     only.isDraining = true;
     SlotFleet::Host& host = fleet.hosts.at(one);
     const EntryChange entry{ only.id, only };
-    host.registry->ApplySnapshot({ &entry, 1 }, 9, fleet.now);
+    host.registry->ApplySnapshot({ &entry, 1 }, { 1, 9 }, fleet.now);
     host.slots->UpdateUpstreams(fleet.now);
     const uint64_t request = fleet.Acquire(one);
     CHECK(fleet.GrantedUpstream(one, request).empty());
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -156,7 +156,7 @@
 
   void ReadUpstreams(Host& aHost)
   {
-    aHost.registry->ApplySnapshot(entries_, version_, now);
+    aHost.registry->ApplySnapshot(entries_, { 1, version_ }, now);
     aHost.slots->UpdateUpstreams(now);
   }
 
