Fleet: a host whose row was lost with a restore of the store registers again

Hosts that start later did not find those that had registered in the lost seconds: their rows were gone, isRegistered_ stayed true, and nobody wrote them again. Of the writes of this deployment it is the only one; the other one repairs its head, claims and permits after a restore (docs/PROOFS.md).

Each host now reads its own row once after it learns of a new epoch, within 10 ms per host of the fleet, and writes it if it is gone, or if the write was acknowledged in an epoch that has ended.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -124,6 +124,8 @@
   void RecordStoreResult(bool aIsAvailable, const Error* aError);
   /// Records the epoch of the store as of a response or the state of a peer.
   void RecordStoreEpoch(uint64_t aEpoch, std::string_view aSource);
+  /// Writes the row of this host again if a restore of the store has lost it.
+  void CheckRegistration();
   /// Records a configuration that is not activated, so that it is not fetched again.
   void RejectConfiguration(StorePosition aPosition);
 
@@ -222,6 +224,7 @@
   TimePoint lastReadFailureLog_{};     ///< Of a read of the configuration.
   TimePoint nextConfigurationRead_{};  ///< After a failed read; earlier ones are not worth a call.
   std::optional<uint64_t> storeEpoch_; ///< The newest one that this host knows of.
+  TimePoint nextRegistrationCheck_ = TimePoint::max();
   TimePoint lastDroppedReadLog_{}; ///< Of a read of the upstreams.
   bool isWatching_ = false;
   bool isReadingUpstreams_ = false;
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -12,6 +12,8 @@
 /// length is added, so that hosts do not retry in step. In the meantime, running hosts are found
 /// through the seeds.
 constexpr Duration kRegisterRetryDelay = Milliseconds(1500);
+/// After a restore of the store, hosts read their own rows within this time per host of the fleet.
+constexpr Duration kRegistrationCheckStep = Milliseconds(10);
 /// Interval at which the host that reads the store looks for new members.
 constexpr Duration kMemberChangesInterval = std::chrono::seconds(1);
 /// A host that starts waits this long for the state of a peer before it reads the store, plus a
@@ -59,6 +61,9 @@
   if (!registry_.HasState() || revision_ == 0) {
     return ReadAtStart(aNow);
   }
+  if (aNow >= nextRegistrationCheck_ && storeFailures_ == 0) {
+    CheckRegistration();
+  }
   const Duration delay =
     schedule_.ReadDelay(spreader_->Tree().Order(), isReader_, !spreader_->IsConnected(aNow));
   if (aNow >= schedule_.NextRead(delay, registry_.FreshAt(), lastStoreFailure_, storeFailures_)) {
@@ -144,6 +149,29 @@
         { "registry_epoch", registry_.Position().epoch },
         { "revision", revision_ },
         { "configuration_version", document_.Id().position.version } });
+  nextRegistrationCheck_ =
+    Now() + Jitter(kRegistrationCheckStep * static_cast<int64_t>(members_->Count()));
+}
+
+void FleetControl::CheckRegistration()
+{
+  nextRegistrationCheck_ = TimePoint::max();
+  platform_.store->ReadRow(
+    kMembersTable, init_.host, kStoreDeadline, [this](const Result<StoreRows>& aRows) {
+      if (!aRows) {
+        nextRegistrationCheck_ = Now() + kRegisterRetryDelay + Jitter(kRegisterRetryDelay);
+        return;
+      }
+      wire::Member member;
+      const bool isPresent = !aRows->rows.empty() &&
+                             member.ParseFromString(aRows->rows.front().value) &&
+                             IsSameRegistration(FromWire(member), members_->Self());
+      if (!isPresent) {
+        Log(LogLevel::Warning, "registration_lost", { { "epoch", aRows->position.epoch } });
+        isRegistered_ = false;
+        Register();
+      }
+    });
 }
 
 /// Writes the row of this host, then reads the rows of all members.
@@ -159,6 +187,9 @@
                          if (!aResult) {
                            return OnMembersFailure(aResult.Failure());
                          }
+                         if (aResult->epoch < StoreEpoch()) {
+                           nextRegistrationCheck_ = Now(); // The write may have been lost.
+                         }
                          isRegistered_ = true;
                          nextMembersRead_ = std::max(Now(), MembersReadStart());
                        });
