Fleet: a host that starts waits for the state of a peer, besides that of the store

A host that started after a restore of the store served by the older configuration of the copy until the first message of a peer: routes that all other hosts served got 404 from it.

Its state counted as confirmed as soon as the store had been read. Now requests wait for the first view of a peer and the configuration that it names as well, at most 300 ms from the start of the process; not at the first start of the fleet, nor alone. The test, with peers that take 180 ms to answer, failed three times out of three before (revision 1 instead of 5), and passes.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -12,6 +12,8 @@
 /// Longest wait for the store or a peer to confirm the state of this host after a pause. After it
 /// the host serves from its last state.
 constexpr Duration kConfirmationTimeout = std::chrono::seconds(1);
+/// Longest wait of a host that starts for the state of a peer, besides that of the store.
+constexpr Duration kPeerStateTimeout = Milliseconds(300);
 
 } // namespace
 
@@ -197,7 +199,8 @@
   if (shared_.isStateConfirmed) {
     return;
   }
-  const bool isConfirmed = registry_.FreshAt() > resumedAt_ && configurationFreshAt_ > resumedAt_;
+  const bool isConfirmed = registry_.FreshAt() > resumedAt_ && configurationFreshAt_ > resumedAt_ &&
+                           !AwaitsPeerState(aNow);
   if (isConfirmed || aNow - resumedAt_ > kConfirmationTimeout) {
     Log(LogLevel::Info,
         "knowledge_confirmed",
@@ -211,6 +214,14 @@
   }
 }
 
+/// A store that was restored may have an older configuration than the peers of a host that starts.
+bool FleetControl::AwaitsPeerState(TimePoint aNow) const
+{
+  const bool hasPeerState = receivedViewAt_ > startedAt_ && !IsWanted(newestKnown_);
+  return resumedAt_ == startedAt_ && !init_.isFirstStart && members_->Count() > 1 &&
+         !hasPeerState && aNow - startedAt_ < kPeerStateTimeout;
+}
+
 bool FleetControl::IsReady() const
 {
   return !isStopping_ && shared_.isStateConfirmed && revision_ != 0 && registry_.HasState();
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -170,6 +170,7 @@
   void ReadStore(TimePoint aNow);
   void ReadAtStart(TimePoint aNow);
 
+  bool AwaitsPeerState(TimePoint aNow) const;
   bool IsReady() const;
   void ServeAdmin(const HttpRequest& aRequest, HttpReply& aReply);
   Duration Jitter(Duration aMax);
@@ -250,6 +251,7 @@
   TimePoint nextMembersRead_{};
   TimePoint startedAt_{};
   TimePoint lastTick_{};
+  TimePoint receivedViewAt_{}; ///< Of the last view of a peer.
   TimePoint resumedAt_{};      ///< End of the last pause of the process.
   uint32_t storeFailures_ = 0; ///< Failed calls to the store since the last successful read.
 };
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -376,6 +376,7 @@
   const wire::View& view = aMessage.view();
   const std::string& host = aMessage.sender().host();
   const TimePoint now = Now();
+  receivedViewAt_ = now;
   const TimePoint previousFreshAt = registry_.FreshAt();
   const TimePoint previousConfigurationFreshAt = configurationFreshAt_;
   const StorePosition previousPosition = registry_.Position();
--- a/packages/fleet/tests/control_host.h
+++ b/packages/fleet/tests/control_host.h
@@ -50,6 +50,11 @@
     };
     faults.refuses = aRefuseStoreCalls;
     shared.onResumed = [this] { hasDetectedPause = !shared.isStateConfirmed; };
+    shared.onRoutes = [this] {
+      if (shared.isStateConfirmed && firstRevision == 0) {
+        firstRevision = Revision();
+      }
+    };
     control_ = std::make_unique<FleetControl>(init_, shared);
     const auto error = control_->Bind();
     const std::string detail =
@@ -88,6 +93,7 @@
   FakeFaults faults;
   FleetShared shared;
   EventLoop* loop = nullptr;
+  std::atomic<uint64_t> firstRevision = 0;    ///< With which the host has begun to serve.
   std::atomic<bool> hasDetectedPause = false; ///< The host has detected a pause of its process.
 
 private:
--- a/packages/fleet/tests/restored_store_test.cpp
+++ b/packages/fleet/tests/restored_store_test.cpp
@@ -143,9 +143,16 @@
   CHECK(fleet.two->Revision() == 5);
   SUBCASE("and a host that starts prefers that of its peers")
   {
+    SUBCASE("which answer at once") {}
+    SUBCASE("which take a while to answer")
+    {
+      for (const auto* host : { fleet.one.get(), fleet.two.get() }) {
+        host->loop->Post([] { std::this_thread::sleep_for(Milliseconds(180)); });
+      }
+    }
     const auto three = fleet.Start("three", 5);
-    REQUIRE(
-      Eventually([&] { return three->Revision() != 0 && three->shared.isStateConfirmed.load(); }));
+    REQUIRE(Eventually([&] { return three->firstRevision != 0; }));
+    CHECK(three->firstRevision.load() == 5);
     CHECK(three->Revision() == 5);
   }
 }
