Fleet: all hosts know the newest reports of upstreams, not only the one that reads the store

The registry now decides this, where tests reach it: a view with the same digest still brings newer reports, and a removal carries the last report. With the reports of such views skipped, as before, four checks of the new test fail.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -201,8 +201,10 @@
       *view.add_changed() = ToWire(upstream);
     }
   } else {
-    for (const RegisteredUpstream& upstream : aChange->changed) {
-      *view.add_changed() = ToWire(upstream);
+    for (const auto* upstreams : { &aChange->lastReports, &aChange->changed }) {
+      for (const RegisteredUpstream& upstream : *upstreams) {
+        *view.add_changed() = ToWire(upstream);
+      }
     }
     for (const std::string& id : aChange->removed) {
       view.add_removed(id);
@@ -333,17 +335,13 @@
   if (position < registry_.Position()) {
     return true;
   }
-  // A view of the state that this host already has only confirms it.
-  const bool isKnown = registry_.HasState() && aView.digest() == registry_.Digest();
   RegistryChange change;
-  if (!isKnown) {
-    for (const wire::Upstream& upstream : aView.changed()) {
-      change.changed.push_back(FromWire(upstream));
-    }
-    change.removed.assign(aView.removed().begin(), aView.removed().end());
+  for (const wire::Upstream& upstream : aView.changed()) {
+    change.changed.push_back(FromWire(upstream));
   }
+  change.removed.assign(aView.removed().begin(), aView.removed().end());
   const bool fits = registry_.ApplyPeerView(change,
-                                            aView.full() && !isKnown,
+                                            aView.full(),
                                             position,
                                             aView.digest(),
                                             now - Milliseconds(aView.registry_age_ms()),
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -81,6 +81,7 @@
                                           aNow + init_.tombstonePeriod });
   digest_ ^= DigestOf(current->second);
   aChange.removed.push_back(aId);
+  aChange.lastReports.push_back(current->second);
   warmupEnd_.erase(aId);
   upstreams_.erase(current);
 }
@@ -189,8 +190,13 @@
     return true;
   }
   EnterEpoch(aPosition.epoch, aNow);
-  std::vector<std::string> removed(aChange.removed);
-  if (aIsSnapshot) {
+  const bool isKnown = hasState_ && digest_ == aDigest;
+  const bool isSnapshot = aIsSnapshot && !isKnown;
+  std::vector<std::string> removed;
+  if (!isKnown) {
+    removed = aChange.removed;
+  }
+  if (isSnapshot) {
     // The snapshot may hold entries that the store has deleted, so changes alone do not suffice.
     RequireFullRead();
     std::set<std::string_view> present;
@@ -214,7 +220,7 @@
   for (const std::string& id : removed) {
     Remove(id, aNow, aLocalChange);
   }
-  if (!aIsSnapshot && Digest() != aDigest) {
+  if (!isSnapshot && Digest() != aDigest) {
     return false;
   }
   hasState_ = true;
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -16,6 +16,8 @@
 {
   std::vector<RegisteredUpstream> changed; ///< New or updated upstreams.
   std::vector<std::string> removed;
+  /// Last reports of the removed upstreams, so that hosts reject older ones.
+  std::vector<RegisteredUpstream> lastReports;
 
   bool Empty() const { return changed.empty() && removed.empty(); }
 };
@@ -72,7 +74,8 @@
                               StorePosition aPosition,
                               TimePoint aNow);
 
-  /// Applies changes or a full snapshot from a peer.
+  /// Applies changes or a full snapshot from a peer. Of a view with the same digest only newer
+  /// reports are taken.
   /// @param aDigest Digest() of the peer.
   /// @param aFreshAt When the state of the peer was last confirmed to be the newest.
   /// @param aLocalChange Set to the resulting change of this registry.
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -165,8 +165,9 @@
     // Otherwise entries that the peer kept only because of an outage are never removed.
     RegistryChange change;
     RegistryChange localChange;
-    change.changed = both;
-    registry.ApplyPeerView(change, true, At(12), registry.Digest(), next, next, localChange);
+    change.changed = { both.front(), both.back(), MakeUpstream("kept") };
+    registry.ApplyPeerView(change, true, At(12), 1, next, next, localChange);
+    CHECK(registry.Find("kept") != nullptr);
     CHECK_FALSE(registry.CanReadChanges(next));
   }
 }
@@ -357,6 +358,60 @@
     CHECK_FALSE(peer.ApplyPeerView({}, false, At(12), store.Digest(), kStart, kStart, localChange));
     CHECK(peer.Position() == At(10));
   }
+  SUBCASE("carry newer reports even if the state is the same")
+  {
+    // Otherwise a host that does not read the store takes late reports that the reader rejects.
+    const auto report = [](uint64_t aSequence, bool aDraining) {
+      RegisteredUpstream upstream = MakeUpstream("one", aDraining);
+      upstream.startedAtMs = 1700;
+      upstream.sequence = aSequence;
+      return upstream;
+    };
+    const std::vector<RegisteredUpstream> draining = { report(5, true) };
+    change = store.ApplySnapshot(Entries(draining), At(11), kStart);
+    REQUIRE(peer.ApplyPeerView(change, true, At(11), store.Digest(), kStart, kStart, localChange));
+    SUBCASE("after ready and draining were written within one read")
+    {
+      const std::vector<RegisteredUpstream> both = { report(7, false), report(8, true) };
+      change = store.ApplyChanges(Entries(both), At(13), kStart);
+      REQUIRE(
+        peer.ApplyPeerView(change, false, At(13), store.Digest(), kStart, kStart, localChange));
+      SUBCASE("also at the hosts after the next one")
+      {
+        Registry last;
+        RegistryChange ignored;
+        RegistryChange before;
+        before.changed = draining;
+        REQUIRE(last.ApplyPeerView(before, true, At(11), store.Digest(), kStart, kStart, ignored));
+        REQUIRE(
+          last.ApplyPeerView(localChange, false, At(13), peer.Digest(), kStart, kStart, ignored));
+        CHECK(last.Find("one")->sequence == 8);
+      }
+      const std::vector<RegisteredUpstream> late = { report(6, false) };
+      CHECK(peer.ApplyChanges(Entries(late), At(14), kStart).Empty());
+      CHECK(peer.Find("one")->isDraining);
+    }
+    SUBCASE("in a snapshot as well")
+    {
+      change.changed = { report(8, true) };
+      REQUIRE(
+        peer.ApplyPeerView(change, true, At(13), store.Digest(), kStart, kStart, localChange));
+      CHECK(peer.Find("one")->sequence == 8);
+    }
+    SUBCASE("of upstreams that were removed after further reports")
+    {
+      const std::vector<RegisteredUpstream> again = { report(9, true) };
+      CHECK(store.ApplyChanges(Entries(again), At(12), kStart).Empty());
+      change = store.ApplyChanges(Deleted("one"), At(13), kStart);
+      REQUIRE(change.lastReports.size() == 1);
+      change.changed = change.lastReports; // As messages carry them.
+      REQUIRE(
+        peer.ApplyPeerView(change, false, At(13), store.Digest(), kStart, kStart, localChange));
+      const std::vector<RegisteredUpstream> late = { report(7, false) };
+      CHECK(peer.ApplySnapshot(Entries(late), At(10, 2), kStart).Empty());
+      CHECK(peer.Find("one") == nullptr);
+    }
+  }
   SUBCASE("are not fresher than the state of the peer")
   {
     // Otherwise hosts confirm stale state to each other while the store is unavailable.
