Fleet: read and log that upstreams leave or ask for a pause

Both header fields of the new rules were read nowhere. What cannot be read is logged at most once a second (upstream_notice_invalid). Events: upstream_leaving, upstream_paused. No decision depends on them yet.

--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -147,8 +147,17 @@
   /// Requests per second that the upstream accepts from all hosts together.
   std::optional<double> requestLimit;
   std::string invalidLimit; ///< A limit that cannot be read; empty: none.
+  bool isLeaving = false;   ///< The upstream is shutting down and accepts no new requests.
+  /// The upstream wants no requests of this host for so long, at most kMaxPause.
+  std::optional<Milliseconds> pause;
+  /// A header field about leaving or a pause that cannot be read, or names a longer pause than
+  /// kMaxPause; empty: none.
+  std::string invalidNotice;
 };
 
+/// Longest pause that an upstream can ask for.
+constexpr Milliseconds kMaxPause = std::chrono::hours(1);
+
 /// Encoding of the metadata in the header fields of callers and upstreams.
 struct RequestDialect
 {
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -268,6 +268,7 @@
   const ResponseMetadata metadata =
     traffic_.Control().Dialect().readResponse(aResult.status, aResult.headers);
   ReadLimit(metadata);
+  ReadNotices(metadata);
   if (metadata.isMisdirected) {
     return OnRefused(Outcome::Misdirected);
   }
@@ -313,6 +314,37 @@
   }
 }
 
+void FleetSession::ReadNotices(const ResponseMetadata& aMetadata)
+{
+  const bool isOther = !aMetadata.requestId.empty() && aMetadata.requestId != caller_.requestId;
+  if (aMetadata.isMisdirected || isOther) {
+    return;
+  }
+  if (!aMetadata.invalidNotice.empty() && traffic_.MayLogInvalidNotice(Now())) {
+    Log(LogLevel::Warning,
+        "upstream_notice_invalid",
+        { { "request_id", caller_.requestId },
+          { "upstream", upstream_.id },
+          { "service", service_ },
+          { "detail", aMetadata.invalidNotice } });
+  }
+  if (aMetadata.isLeaving) {
+    Log(LogLevel::Info,
+        "upstream_leaving",
+        { { "upstream", upstream_.id },
+          { "service", service_ },
+          { "request_id", caller_.requestId } });
+  }
+  if (aMetadata.pause) {
+    Log(LogLevel::Info,
+        "upstream_paused",
+        { { "upstream", upstream_.id },
+          { "service", service_ },
+          { "request_id", caller_.requestId },
+          { "pause_ms", aMetadata.pause->count() } });
+  }
+}
+
 bool FleetSession::Retry(std::string_view aReason)
 {
   const TimePoint now = Now();
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -51,6 +51,8 @@
   /// Makes the requests of this thread avoid an upstream for a while after a failed connection.
   void RecordUnreachable(const std::string& aUpstream, TimePoint aNow);
   std::vector<std::string> UnreachableUpstreams(TimePoint aNow);
+  /// Bounds the log lines about header fields of upstreams that cannot be read.
+  bool MayLogInvalidNotice(TimePoint aNow);
   void SessionStarted() { active_.fetch_add(1); }
   void SessionEnded() { active_.fetch_sub(1); }
 
@@ -72,6 +74,7 @@
   uint64_t sequence_ = 0;
   uint64_t random_;
   std::map<std::string, TimePoint> unreachableUntil_; ///< By upstream.
+  TimePoint nextInvalidNoticeLog_{};
 };
 
 /// A request of a caller from its arrival to its response. Pending callbacks share the ownership of
@@ -102,6 +105,8 @@
   void OnResponse(UpstreamResult aResult);
   /// Notes the request limit that a response of the upstream names, for FinishAttempt().
   void ReadLimit(const ResponseMetadata& aMetadata);
+  /// Notes that the upstream leaves or asks for a pause, for FinishAttempt().
+  void ReadNotices(const ResponseMetadata& aMetadata);
   void OnTransportFailure(const UpstreamResult& aResult);
   void OnUnreachable(const UpstreamResult& aResult);
   void OnRefused(placement::Outcome aOutcome);
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -10,6 +10,7 @@
 /// After a start or a pause, a host has the current configuration within some 100 ms, or 600 ms if
 /// it is large and the network link slow. Requests that wait for it can still meet their deadlines.
 constexpr Duration kConfigurationTimeout = std::chrono::seconds(1);
+constexpr Duration kInvalidNoticeLogInterval = std::chrono::seconds(1);
 /// Body size limit until a configuration is active.
 constexpr size_t kMaxBodyBytes = kMaxBodyBytesLimit;
 
@@ -119,6 +120,15 @@
   unreachableUntil_[aUpstream] = aNow + kUnreachablePeriod;
 }
 
+bool FleetTraffic::MayLogInvalidNotice(TimePoint aNow)
+{
+  if (aNow < nextInvalidNoticeLog_) {
+    return false;
+  }
+  nextInvalidNoticeLog_ = aNow + kInvalidNoticeLogInterval;
+  return true;
+}
+
 std::vector<std::string> FleetTraffic::UnreachableUpstreams(TimePoint aNow)
 {
   std::erase_if(unreachableUntil_, [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
