Fleet: no request goes to an upstream that has said in a response that it leaves

Callers' requests reached upstreams that were shutting down (DRAIN): leaving was known from the store only, which may be out of reach, late or restored.

Ruled out: requests on their way (the last one came 6.92 s after the response) and a host that knows while its allocator does not (all hosts alike).

UpstreamNotices keeps what responses have said, by upstream and run. It outweighs the store, peers and grants: a host drops such an upstream from its shards, tells the allocator with the release of the slot, passes it on along the tree of hosts with source and age, and turns down a grant of an allocator that does not know. It ends with the next run under the same id, not with a report of being ready. A slot that is turned down goes back at once; where the allocator is the host itself, after it has gone through its queue.

--- a/packages/ctl/src/log_timeline.cpp
+++ b/packages/ctl/src/log_timeline.cpp
@@ -124,8 +124,8 @@
   bool Explains(const LogLine& aLine) const
   {
     static const std::set<std::string, std::less<>> kOfUpstreams = {
-      "upstream_suspected",   "upstream_cleared", "upstream_limited",
-      "upstream_limit_ended", "upstream_changed", "upstream_removed"
+      "upstream_suspected", "upstream_cleared", "upstream_limited", "upstream_limit_ended",
+      "upstream_changed",   "upstream_removed", "upstream_leaving", "upstream_paused"
     };
     static const std::set<std::string, std::less<>> kOfHosts = { "started",
                                                                  "ready",
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -48,6 +48,7 @@
       std::shared_ptr<EventLoop::Timer>(loop_.RunAfter(aDelay, std::move(aCallback))));
   };
   slots.now = Now;
+  slots.onLeaving = [this] { hasNewLeaving_ = true; };
   slots.retries = { init_.retryRatio, init_.retrySlack, init_.retryWindow };
   slots_ = std::make_unique<SlotClient>(std::move(slots));
 }
@@ -159,6 +160,9 @@
   const TimePoint now = Now();
   RevalidateAfterPause(now);
   slots_->Tick(now);
+  if (std::exchange(hasNewLeaving_, false)) {
+    ShareView({}, false);
+  }
   ReadStore(now);
   ConnectPeers(now);
   AskPeerForState(now);
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -69,6 +69,8 @@
   void Release(uint64_t aSequence, const SlotReport& aReport);
   /// Number of upstreams with a request limit in force, by service. Control thread only.
   std::map<std::string, size_t> LimitedUpstreams() const { return slots_->LimitedUpstreams(); }
+  /// Number of upstreams that leave by their responses, by service. Control thread only.
+  std::map<std::string, size_t> LeavingUpstreams() const { return slots_->LeavingUpstreams(); }
   /// Control thread only, like StoreEpoch().
   const MeteredStore::Counts& StoreCallCounts() const { return store_->Calls(); }
   uint64_t StoreEpoch() const { return storeEpoch_.value_or(0); }
@@ -233,6 +235,8 @@
   bool isRegistered_ = false;
   bool isStoreAvailable_ = true;
   bool isReady_ = false;
+  bool hasNewLeaving_ =
+    false; ///< Upstreams have told this host that they leave; peers do not know.
   bool isStopping_ = false;
   TimePoint lastStoreFailure_{}; ///< Valid while storeFailures_ is not 0.
   TimePoint nextAllocatorHello_{};
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -221,6 +221,9 @@
   for (const std::string& host : aJoined) {
     *view.add_joined() = ToWire(*members_->Find(host));
   }
+  for (const LeavingUpstream& upstream : slots_->UnregisteredLeaving()) {
+    *view.add_leaving() = ToWire(upstream, now);
+  }
   view.set_members_digest(members_->Digest());
   view.set_reader_order(readerOrder_);
   CompressView(envelope);
@@ -393,6 +396,11 @@
     nextViewRequest_ = now + kViewRequestInterval;
     AskForState(host, false);
   }
+  std::vector<LeavingUpstream> leaving;
+  for (const wire::LeavingUpstream& upstream : view.leaving()) {
+    leaving.push_back(FromWire(upstream, now));
+  }
+  const bool hasNewLeaving = slots_->HandleLeaving(leaving);
   const ConfigurationId configuration = FromWire(view.configuration_id());
   const bool isActivated = ActivateFromPeer(configuration, view.configuration(), host);
   if (IsWanted(configuration)) {
@@ -413,7 +421,7 @@
     readerOrder_ = isReader_ ? readerOrder_ : view.reader_order();
   }
   const bool isNews = registry_.Position() > previousPosition || !localChange.Empty() ||
-                      isActivated || !joined.empty() ||
+                      isActivated || !joined.empty() || hasNewLeaving ||
                       registry_.FreshAt() > previousFreshAt + kMinFreshnessGain ||
                       configurationFreshAt_ > previousConfigurationFreshAt + kMinFreshnessGain;
   const std::vector<std::string> targets =
--- a/packages/fleet/src/fleet.cpp
+++ b/packages/fleet/src/fleet.cpp
@@ -83,6 +83,7 @@
   FleetControl control(aInit, shared);
   control.SetMetrics([&] {
     metrics.SetLimitedUpstreams(control.LimitedUpstreams());
+    metrics.SetLeavingUpstreams(control.LeavingUpstreams());
     metrics.SetStoreCalls(control.StoreCallCounts(), control.StoreEpoch());
     return metrics.Expose();
   });
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -102,6 +102,24 @@
   return upstream;
 }
 
+wire::LeavingUpstream ToWire(const LeavingUpstream& aUpstream, TimePoint aNow)
+{
+  wire::LeavingUpstream upstream;
+  upstream.set_id(aUpstream.id);
+  upstream.set_started_at_ms(aUpstream.startedAtMs);
+  upstream.set_age_ms(ToWireMs(aNow - aUpstream.since));
+  upstream.set_source(aUpstream.source);
+  return upstream;
+}
+
+LeavingUpstream FromWire(const wire::LeavingUpstream& aUpstream, TimePoint aNow)
+{
+  return { aUpstream.id(),
+           aUpstream.started_at_ms(),
+           aNow - Milliseconds(aUpstream.age_ms()),
+           aUpstream.source() };
+}
+
 uint32_t ToWireMs(Duration aPeriod)
 {
   const int64_t ms = std::chrono::duration_cast<Milliseconds>(aPeriod).count();
--- a/packages/fleet/src/messages_p.h
+++ b/packages/fleet/src/messages_p.h
@@ -5,6 +5,7 @@
 #include "members_p.h"
 #include "registry_p.h"
 #include "shared_document_p.h"
+#include "upstream_notices_p.h"
 
 namespace bg::fleet::detail {
 
@@ -17,6 +18,10 @@
 wire::Upstream ToWire(const RegisteredUpstream& aUpstream);
 RegisteredUpstream FromWire(const wire::Upstream& aUpstream);
 
+/// Periods are relative to aNow.
+wire::LeavingUpstream ToWire(const LeavingUpstream& aUpstream, TimePoint aNow);
+LeavingUpstream FromWire(const wire::LeavingUpstream& aUpstream, TimePoint aNow);
+
 /// Upper limit of a period in a message, in ms. Longer periods are clamped.
 constexpr int64_t kMaxPeriodMs = 3'600'000;
 
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -38,6 +38,11 @@
       .Name("boragegauge_fleet_limited_upstreams")
       .Help("Upstreams whose responses name a limit of requests, as far as this host knows them")
       .Register(registry);
+  prometheus::Family<prometheus::Gauge>& leaving =
+    prometheus::BuildGauge()
+      .Name("boragegauge_fleet_leaving_upstreams")
+      .Help("Registered upstreams that have said in a response that they leave")
+      .Register(registry);
   prometheus::Family<prometheus::Counter>& storeCalls =
     prometheus::BuildCounter()
       .Name("boragegauge_fleet_store_calls_total")
@@ -93,6 +98,13 @@
   }
 }
 
+void FleetMetrics::SetLeavingUpstreams(const std::map<std::string, size_t>& aCounts)
+{
+  for (const auto& [service, count] : aCounts) {
+    impl_->leaving.Add({ { "service", service } }).Set(static_cast<double>(count));
+  }
+}
+
 void FleetMetrics::SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch)
 {
   for (size_t i = 0; i < aCalls.size(); ++i) {
--- a/packages/fleet/src/metrics_p.h
+++ b/packages/fleet/src/metrics_p.h
@@ -29,6 +29,8 @@
   void RecordAttempt(std::string_view aService, placement::Outcome aOutcome);
   /// Sets the number of upstreams that accept a limited rate of requests, by service.
   void SetLimitedUpstreams(const std::map<std::string, size_t>& aCounts);
+  /// Sets the number of upstreams that have said that they leave, by service.
+  void SetLeavingUpstreams(const std::map<std::string, size_t>& aCounts);
   /// Sets the calls to the store so far, and its epoch.
   void SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch);
   /// All metrics in the text exposition format.
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -163,6 +163,7 @@
   ++attempts_;
   sentAt_ = now;
   namedLimit_.reset();
+  isLeaving_ = false;
   UpstreamRequest request;
   request.address = upstream_.address;
   request.port = upstream_.port;
@@ -194,7 +195,7 @@
   const Duration latency = Now() - sentAt_;
   if (slotSequence_ != 0) {
     traffic_.Control().Release(std::exchange(slotSequence_, 0),
-                               { aOutcome, latency, namedLimit_, answeredAt_ });
+                               { aOutcome, latency, namedLimit_, answeredAt_, isLeaving_ });
   }
   traffic_.Metrics().RecordAttempt(service_, aOutcome);
   if (aOutcome != Outcome::Good) {
@@ -241,6 +242,9 @@
 {
   const bool isTimeout = aResult.failure == UpstreamFailure::Timeout;
   mayHaveExecuted_ = true;
+  if (aResult.status != 0) { // The body is incomplete.
+    ReadNotices(traffic_.Control().Dialect().readResponse(aResult.status, aResult.headers));
+  }
   FinishAttempt(isTimeout ? Outcome::TimedOut : Outcome::Failed, aResult.detail);
   if (isTimeout) {
     return Fail(504, "upstream_timeout", aResult.detail, Duration(0));
@@ -328,13 +332,8 @@
           { "service", service_ },
           { "detail", aMetadata.invalidNotice } });
   }
-  if (aMetadata.isLeaving) {
-    Log(LogLevel::Info,
-        "upstream_leaving",
-        { { "upstream", upstream_.id },
-          { "service", service_ },
-          { "request_id", caller_.requestId } });
-  }
+  answeredAt_ = Now();
+  isLeaving_ = aMetadata.isLeaving;
   if (aMetadata.pause) {
     Log(LogLevel::Info,
         "upstream_paused",
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -70,9 +70,10 @@
 
 void SlotClient::UpdateUpstreams(TimePoint aNow)
 {
+  notices_.Expire([this](std::string_view aId) { return init_.registry->Find(aId); }, aNow);
   std::unordered_map<std::string, size_t> counts;
   for (const auto& [id, upstream] : init_.registry->Upstreams()) {
-    counts[upstream.service] += upstream.isDraining ? 0 : 1;
+    counts[upstream.service] += IsAccepting(upstream) ? 1 : 0;
   }
   std::unordered_map<std::string, size_t> shardCounts;
   for (const auto& [service, count] : counts) {
@@ -126,7 +127,7 @@
   }
   for (const auto& [id, upstream] : init_.registry->Upstreams()) {
     const auto count = shardCounts_.find(upstream.service);
-    if (upstream.isDraining || count == shardCounts_.end() ||
+    if (!IsAccepting(upstream) || count == shardCounts_.end() ||
         !services.contains(upstream.service)) {
       continue;
     }
@@ -154,6 +155,64 @@
   }
 }
 
+bool SlotClient::IsAccepting(const RegisteredUpstream& aUpstream) const
+{
+  return !aUpstream.isDraining && !notices_.IsLeaving(aUpstream);
+}
+
+bool SlotClient::RecordLeaving(LeavingUpstream aUpstream)
+{
+  const TimePoint now = init_.now();
+  if (!notices_.RecordLeaving(aUpstream)) {
+    return false;
+  }
+  const RegisteredUpstream* upstream = init_.registry->Find(aUpstream.id);
+  Log(LogLevel::Info,
+      "upstream_leaving",
+      { { "upstream", aUpstream.id },
+        { "service", upstream == nullptr ? "" : upstream->service },
+        { "peer", aUpstream.source },
+        { "age_ms", (now - aUpstream.since) / Milliseconds(1) },
+        { "draining", upstream == nullptr || upstream->isDraining } });
+  UpdateUpstreams(now);
+  return true;
+}
+
+bool SlotClient::HandleLeaving(std::span<const LeavingUpstream> aUpstreams)
+{
+  bool isNews = false;
+  for (const LeavingUpstream& upstream : aUpstreams) {
+    isNews = RecordLeaving(upstream) || isNews;
+  }
+  return isNews;
+}
+
+std::vector<LeavingUpstream> SlotClient::UnregisteredLeaving() const
+{
+  std::vector<LeavingUpstream> upstreams;
+  for (const auto& [id, leaving] : notices_.Leaving()) {
+    const RegisteredUpstream* upstream = init_.registry->Find(id);
+    if (upstream != nullptr && !upstream->isDraining && notices_.IsLeaving(*upstream)) {
+      upstreams.push_back(leaving);
+    }
+  }
+  return upstreams;
+}
+
+std::map<std::string, size_t> SlotClient::LeavingUpstreams() const
+{
+  std::map<std::string, size_t> counts;
+  for (const auto& [service, count] : shardCounts_) {
+    counts[service] = 0;
+  }
+  for (const auto& [id, leaving] : notices_.Leaving()) {
+    if (const RegisteredUpstream* upstream = init_.registry->Find(id)) {
+      ++counts[upstream->service];
+    }
+  }
+  return counts;
+}
+
 std::vector<std::string> SlotClient::Allocators(TimePoint aNow) const
 {
   std::vector<std::string> hosts;
@@ -276,7 +335,7 @@
         { "shard", pending.shard },
         { "peer", pending.allocatorHost },
         { "timeout_ms", init_.responseTimeout / Milliseconds(1) } });
-  SendRelease(pending.allocatorHost, aSequence, pending.shard, "", {});
+  SendRelease(pending.allocatorHost, aSequence, pending.shard, nullptr, {});
   if (++pending.timeouts < kMaxAllocatorTimeouts) {
     return RequestSlot(aSequence);
   }
@@ -302,6 +361,26 @@
   OnGranted(aSequence, upstream);
 }
 
+void SlotClient::RejectGrant(uint64_t aSequence, const std::string& aUpstream)
+{
+  PendingRequest& pending = pendingRequests_.at(aSequence);
+  pending.query.exclude.push_back(aUpstream);
+  if (pending.allocatorHost != Self()) {
+    SendRelease(pending.allocatorHost, aSequence, pending.shard, nullptr, {});
+    return PlaceLocally(aSequence);
+  }
+  // The allocator of this host grants slots while it goes through its queue.
+  pending.timer = init_.runAfter(Duration(0), [this, aSequence] {
+    const auto found = pendingRequests_.find(aSequence);
+    if (found == pendingRequests_.end()) {
+      return;
+    }
+    GetShard(found->second.shard)
+      .allocator->Release({ selfKey_, aSequence }, Outcome::Cancelled, Duration(0), init_.now());
+    PlaceLocally(aSequence);
+  });
+}
+
 void SlotClient::OnGranted(uint64_t aSequence, const std::string& aUpstream)
 {
   const auto found = pendingRequests_.find(aSequence);
@@ -312,21 +391,12 @@
   const TimePoint now = init_.now();
   const RegisteredUpstream* upstream = init_.registry->Find(aUpstream);
   Shard& shard = GetShard(pending.shard);
-  if (upstream == nullptr || upstream->isDraining) {
-    // The registry of the allocator is older than that of this host, or the other way round.
-    if (pending.allocatorHost == Self()) {
-      shard.allocator->Release({ selfKey_, aSequence }, Outcome::Cancelled, Duration(0), now);
-    } else {
-      SendRelease(pending.allocatorHost, aSequence, pending.shard, "", {});
-    }
-    pending.query.exclude.push_back(aUpstream);
-    return PlaceLocally(aSequence);
+  if (upstream == nullptr || !IsAccepting(*upstream)) {
+    // The allocator knows less than this host, or the other way round.
+    return RejectGrant(aSequence, aUpstream);
   }
-  HeldSlot slot{ pending.shard,
-                 pending.allocatorHost,
-                 aUpstream,
-                 pending.query.idempotent,
-                 pending.query.deadline };
+  HeldSlot slot{ pending.shard,         pending.allocatorHost,    aUpstream,
+                 upstream->startedAtMs, pending.query.idempotent, pending.query.deadline };
   if (pending.allocatorHost != Self()) {
     shard.allocator->AddLease(MakeRequest(aSequence, pending.query), aUpstream, now);
     if (pending.allocatorHost.empty()) {
@@ -369,7 +439,7 @@
       GetShard(pending.shard)
         .allocator->Release({ selfKey_, aSequence }, aReport.outcome, aReport.latency, now);
     } else {
-      SendRelease(pending.allocatorHost, aSequence, pending.shard, "", aReport);
+      SendRelease(pending.allocatorHost, aSequence, pending.shard, nullptr, aReport);
     }
     return;
   }
@@ -385,7 +455,12 @@
     .allocator->Release({ selfKey_, aSequence }, aReport.outcome, aReport.latency, now);
   const std::string host = GetShard(slot.shard).allocatorHost;
   if (host != Self() && !host.empty()) {
-    SendRelease(host, aSequence, slot.shard, slot.upstream, aReport);
+    SendRelease(host, aSequence, slot.shard, &slot, aReport);
+  }
+  if (aReport.isLeaving &&
+      RecordLeaving({ slot.upstream, slot.startedAtMs, aReport.answeredAt, Self() }) &&
+      init_.onLeaving) {
+    init_.onLeaving();
   }
 }
 
@@ -404,7 +479,7 @@
 void SlotClient::SendRelease(std::string_view aHost,
                              uint64_t aSequence,
                              std::string_view aShard,
-                             std::string_view aUpstream,
+                             const HeldSlot* aSlot,
                              const SlotReport& aReport)
 {
   wire::Envelope envelope;
@@ -413,11 +488,17 @@
   release.set_shard(std::string(aShard));
   release.set_outcome(static_cast<uint32_t>(aReport.outcome));
   release.set_latency_ms(ToWireMs(aReport.latency));
-  release.set_upstream(std::string(aUpstream));
+  if (aSlot != nullptr) {
+    release.set_upstream(aSlot->upstream);
+    release.set_started_at_ms(aSlot->startedAtMs);
+  }
   if (aReport.requestLimit) {
     release.set_request_limit(*aReport.requestLimit);
+  }
+  if (aReport.requestLimit || aReport.isLeaving) {
     release.set_answer_age_ms(ToWireMs(init_.now() - aReport.answeredAt));
   }
+  release.set_leaving(aReport.isLeaving);
   init_.send(aHost, std::move(envelope));
 }
 
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -10,6 +10,7 @@
 
 #include "boragegauge/placement.h"
 #include "messages_p.h"
+#include "upstream_notices_p.h"
 
 namespace bg::fleet::detail {
 
@@ -48,6 +49,7 @@
   /// no response of the upstream.
   std::optional<double> requestLimit;
   TimePoint answeredAt{}; ///< Of the response that names requestLimit.
+  bool isLeaving = false; ///< The response says that the upstream leaves.
 };
 
 /// Number of hosts that use one of the shards of a service, on average.
@@ -61,6 +63,8 @@
   /// Runs a callback once after a delay; a destroyed handle cancels it.
   std::function<std::shared_ptr<void>(Duration, std::function<void()>)> runAfter = nullptr;
   std::function<TimePoint()> now = nullptr;
+  /// A response to this host has said for the first time that an upstream leaves.
+  std::function<void()> onLeaving = nullptr;
   placement::RetryWindow::Init retries{};             ///< Budget per service, over all hosts.
   Duration responseTimeout = Milliseconds(60);        ///< Until the next allocator is asked.
   Duration queueCheckInterval = Milliseconds(200);    ///< Between repeats of a queued request.
@@ -105,6 +109,12 @@
   /// The other hosts that are the allocator of a shard or would replace it.
   std::vector<std::string> Allocators(TimePoint aNow) const;
   const SlotClientStats& Stats() const { return stats_; }
+  /// Records that upstreams leave, as a peer reports. @return True if any was not known.
+  bool HandleLeaving(std::span<const LeavingUpstream> aUpstreams);
+  /// The upstreams that leave while their entries in the store do not say so.
+  std::vector<LeavingUpstream> UnregisteredLeaving() const;
+  /// Number of upstreams that have said that they leave and still have an entry, by service.
+  std::map<std::string, size_t> LeavingUpstreams() const;
   /// Number of upstreams with a limit in force, by service, as far as this host knows them.
   std::map<std::string, size_t> LimitedUpstreams() const;
   std::string Describe() const; ///< One "shard=... " line for each shard, for /state.
@@ -146,6 +156,7 @@
     std::string shard;
     std::string allocatorHost; ///< Host that granted the slot or was told of it; may be empty.
     std::string upstream;
+    int64_t startedAtMs = 0; ///< Of the upstream.
     bool idempotent = false;
     TimePoint deadline{};
   };
@@ -159,7 +170,12 @@
   bool IsSharedSuspect(std::string_view aUpstream, TimePoint aNow) const;
   std::string SelectShard(const std::string& aService);
   void SelectUsedShards();
+  /// Whether an upstream accepts new requests, as far as this host knows.
+  bool IsAccepting(const RegisteredUpstream& aUpstream) const;
+  bool RecordLeaving(LeavingUpstream aUpstream);
   void RequestSlot(uint64_t aSequence);
+  /// Returns a granted slot that this host must not use, and places the request elsewhere.
+  void RejectGrant(uint64_t aSequence, const std::string& aUpstream);
   void OnResponseTimer(uint64_t aSequence);
   void PlaceLocally(uint64_t aSequence);
   void OnGranted(uint64_t aSequence, const std::string& aUpstream);
@@ -168,7 +184,7 @@
   void SendRelease(std::string_view aHost,
                    uint64_t aSequence,
                    std::string_view aShard,
-                   std::string_view aUpstream,
+                   const HeldSlot* aSlot,
                    const SlotReport& aReport);
   placement::SlotRequest MakeRequest(uint64_t aSequence, const SlotQuery& aQuery) const;
   void OnAllocatorGrant(std::string_view aShard, const placement::Grant& aGrant);
@@ -219,6 +235,7 @@
   std::unordered_map<uint64_t, std::string> hostNames_;          ///< By HostKey().
   std::map<std::string, TimePoint, std::less<>> sharedSuspects_; ///< Expiry by upstream.
   std::map<std::string, KnownLimit, std::less<>> limits_;        ///< By upstream.
+  UpstreamNotices notices_;
   TimePoint nextSuspectsShare_{};
   uint64_t roundRobin_ = 0; ///< Position for SelectShard().
   SlotClientStats stats_;
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -315,6 +315,12 @@
                         static_cast<Outcome>(message.outcome()),
                         Milliseconds(message.latency_ms()),
                         now);
+  if (message.leaving()) {
+    RecordLeaving({ message.upstream(),
+                    message.started_at_ms(),
+                    now - Milliseconds(message.answer_age_ms()),
+                    aMessage.sender().host() });
+  }
 }
 
 void SlotClient::HandleHolding(const wire::Envelope& aMessage)
@@ -340,6 +346,13 @@
 {
   std::string text;
   const TimePoint now = init_.now();
+  for (const auto& [id, leaving] : notices_.Leaving()) {
+    text += fmt::format("leaving={} since_ms={} peer={} started_at_ms={}\n",
+                        id,
+                        (now - leaving.since) / Milliseconds(1),
+                        leaving.source,
+                        leaving.startedAtMs);
+  }
   for (const auto& [key, shard] : shards_) {
     const placement::SlotAllocatorStats stats = shard.allocator->Stats();
     text +=
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -134,6 +134,19 @@
     return found == results.end() || !found->second.isGranted ? "" : found->second.upstream.id;
   }
 
+  /// Delivers the messages that are on their way.
+  void Deliver()
+  {
+    while (!network_.empty()) {
+      const Message message = std::move(network_.front());
+      network_.pop_front();
+      ++messages;
+      if (!stopped.contains(message.to)) {
+        hosts.at(message.to).slots->HandleMessage(message.envelope);
+      }
+    }
+  }
+
   TimePoint now{ std::chrono::hours(1) };
   std::map<std::string, Host> hosts;
   std::set<std::string> stopped; ///< Hosts that neither receive nor send messages.
@@ -187,18 +200,6 @@
     host.slots = std::make_unique<SlotClient>(std::move(init));
   }
 
-  void Deliver()
-  {
-    while (!network_.empty()) {
-      const Message message = std::move(network_.front());
-      network_.pop_front();
-      ++messages;
-      if (!stopped.contains(message.to)) {
-        hosts.at(message.to).slots->HandleMessage(message.envelope);
-      }
-    }
-  }
-
   uint64_t version_ = 0;
   std::vector<EntryChange> entries_;
   std::deque<Message> network_;
--- /dev/null
+++ b/packages/fleet/tests/upstream_notices_test.cpp
@@ -0,0 +1,74 @@
+#include <doctest/doctest.h>
+
+#include "upstream_notices_p.h"
+
+using namespace bg;
+using namespace bg::fleet;
+using namespace bg::fleet::detail;
+
+namespace {
+
+RegisteredUpstream Run(int64_t aStartedAtMs, bool aDraining = false)
+{
+  RegisteredUpstream upstream;
+  upstream.id = "one";
+  upstream.startedAtMs = aStartedAtMs;
+  upstream.isDraining = aDraining;
+  return upstream;
+}
+
+const TimePoint kStart{ std::chrono::hours(1) };
+
+} // namespace
+
+TEST_CASE("an upstream that has said that it leaves")
+{
+  UpstreamNotices notices;
+  REQUIRE(notices.RecordLeaving({ "one", 1000, kStart, "host" }));
+  CHECK(notices.IsLeaving(Run(1000)));
+  SUBCASE("leaves whatever its entry in the store says")
+  {
+    CHECK(notices.IsLeaving(Run(1000, false)));
+    SUBCASE("also when a restored entry is of an earlier run, or of none")
+    {
+      CHECK(notices.IsLeaving(Run(900)));
+      CHECK(notices.IsLeaving(Run(0)));
+    }
+  }
+  SUBCASE("is known once")
+  {
+    CHECK_FALSE(notices.RecordLeaving({ "one", 1000, kStart + Milliseconds(9), "other" }));
+    CHECK_FALSE(notices.RecordLeaving({ "one", 900, kStart + Milliseconds(9), "other" }));
+    CHECK(notices.Leaving().at("one").source == "host");
+  }
+  SUBCASE("accepts requests again in its next run under the same id")
+  {
+    CHECK_FALSE(notices.IsLeaving(Run(1001)));
+    SUBCASE("which may leave as well")
+    {
+      CHECK(notices.RecordLeaving({ "one", 1001, kStart + Milliseconds(9), "host" }));
+      CHECK(notices.IsLeaving(Run(1001)));
+    }
+  }
+  SUBCASE("is forgotten when it cannot get requests any more")
+  {
+    const RegisteredUpstream same = Run(1000);
+    const RegisteredUpstream next = Run(1001);
+    const TimePoint later = kStart + std::chrono::minutes(10);
+    notices.Expire([&](std::string_view) { return &same; }, later);
+    CHECK(notices.IsLeaving(same));
+    SUBCASE("because it runs again")
+    {
+      notices.Expire([&](std::string_view) { return &next; }, kStart);
+      CHECK(notices.Leaving().empty());
+    }
+    SUBCASE("because its entry has been gone for a while")
+    {
+      const auto none = [](std::string_view) -> const RegisteredUpstream* { return nullptr; };
+      notices.Expire(none, kStart + std::chrono::seconds(30));
+      CHECK(notices.IsLeaving(same));
+      notices.Expire(none, later);
+      CHECK(notices.Leaving().empty());
+    }
+  }
+}
