Fleet, placement: a host sends nothing to an upstream that has asked it for a pause

Callers' requests went to upstreams that had refused this host and asked for a pause, and were refused again (BUDGET): the refusal delayed only the next grants of its allocator, by its own backoff.

Ruled out: requests on their way, since up to 12 came more than half a second after the refusal.

A pause holds for the pair of host and upstream and its run; of several the one that ends last counts. The host names its paused upstreams in requests for slots (SlotRequest::avoid), so that the allocator grants them to others; those requests do not count as misses, so that they block nobody behind them. A grant that was made before goes back at once, and the request keeps its place by its arrival. When all upstreams of a service are paused for the host, the request is refused at once, with the time to the first end of a pause, at most one second, because other hosts may serve it sooner.

With the lookup switched off the unit tests fail; with misses counted, the test of requests behind many of a paused host fails.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -71,6 +71,8 @@
   std::map<std::string, size_t> LimitedUpstreams() const { return slots_->LimitedUpstreams(); }
   /// Number of upstreams that leave by their responses, by service. Control thread only.
   std::map<std::string, size_t> LeavingUpstreams() const { return slots_->LeavingUpstreams(); }
+  /// Number of upstreams that want no requests of this host now, by service. Control thread only.
+  std::map<std::string, size_t> PausedUpstreams() const { return slots_->PausedUpstreams(); }
   /// Control thread only, like StoreEpoch().
   const MeteredStore::Counts& StoreCallCounts() const { return store_->Calls(); }
   uint64_t StoreEpoch() const { return storeEpoch_.value_or(0); }
--- a/packages/fleet/src/fleet.cpp
+++ b/packages/fleet/src/fleet.cpp
@@ -84,6 +84,7 @@
   control.SetMetrics([&] {
     metrics.SetLimitedUpstreams(control.LimitedUpstreams());
     metrics.SetLeavingUpstreams(control.LeavingUpstreams());
+    metrics.SetPausedUpstreams(control.PausedUpstreams());
     metrics.SetStoreCalls(control.StoreCallCounts(), control.StoreEpoch());
     return metrics.Expose();
   });
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -43,6 +43,11 @@
       .Name("boragegauge_fleet_leaving_upstreams")
       .Help("Registered upstreams that have said in a response that they leave")
       .Register(registry);
+  prometheus::Family<prometheus::Gauge>& paused =
+    prometheus::BuildGauge()
+      .Name("boragegauge_fleet_paused_upstreams")
+      .Help("Upstreams that have asked this host for a pause that has not ended")
+      .Register(registry);
   prometheus::Family<prometheus::Counter>& storeCalls =
     prometheus::BuildCounter()
       .Name("boragegauge_fleet_store_calls_total")
@@ -105,6 +110,13 @@
   }
 }
 
+void FleetMetrics::SetPausedUpstreams(const std::map<std::string, size_t>& aCounts)
+{
+  for (const auto& [service, count] : aCounts) {
+    impl_->paused.Add({ { "service", service } }).Set(static_cast<double>(count));
+  }
+}
+
 void FleetMetrics::SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch)
 {
   for (size_t i = 0; i < aCalls.size(); ++i) {
--- a/packages/fleet/src/metrics_p.h
+++ b/packages/fleet/src/metrics_p.h
@@ -31,6 +31,8 @@
   void SetLimitedUpstreams(const std::map<std::string, size_t>& aCounts);
   /// Sets the number of upstreams that have said that they leave, by service.
   void SetLeavingUpstreams(const std::map<std::string, size_t>& aCounts);
+  /// Sets the number of upstreams that want no requests of this host now, by service.
+  void SetPausedUpstreams(const std::map<std::string, size_t>& aCounts);
   /// Sets the calls to the store so far, and its epoch.
   void SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch);
   /// All metrics in the text exposition format.
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -164,6 +164,7 @@
   sentAt_ = now;
   namedLimit_.reset();
   isLeaving_ = false;
+  pause_.reset();
   UpstreamRequest request;
   request.address = upstream_.address;
   request.port = upstream_.port;
@@ -195,7 +196,7 @@
   const Duration latency = Now() - sentAt_;
   if (slotSequence_ != 0) {
     traffic_.Control().Release(std::exchange(slotSequence_, 0),
-                               { aOutcome, latency, namedLimit_, answeredAt_, isLeaving_ });
+                               { aOutcome, latency, namedLimit_, answeredAt_, isLeaving_, pause_ });
   }
   traffic_.Metrics().RecordAttempt(service_, aOutcome);
   if (aOutcome != Outcome::Good) {
@@ -334,14 +335,7 @@
   }
   answeredAt_ = Now();
   isLeaving_ = aMetadata.isLeaving;
-  if (aMetadata.pause) {
-    Log(LogLevel::Info,
-        "upstream_paused",
-        { { "upstream", upstream_.id },
-          { "service", service_ },
-          { "request_id", caller_.requestId },
-          { "pause_ms", aMetadata.pause->count() } });
-  }
+  pause_ = aMetadata.pause;
 }
 
 bool FleetSession::Retry(std::string_view aReason)
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -136,7 +136,8 @@
   TimePoint sentAt_{};
   std::optional<double> namedLimit_; ///< See SlotReport::requestLimit.
   TimePoint answeredAt_{};
-  bool isLeaving_ = false; ///< See SlotReport::isLeaving.
+  bool isLeaving_ = false;            ///< See SlotReport::isLeaving.
+  std::optional<Milliseconds> pause_; ///< See SlotReport::pause.
   RegisteredUpstream upstream_;
   std::vector<std::string> triedUpstreams_; ///< Not selected again.
   uint32_t attempts_ = 0;                   ///< Upstreams that the request was sent to.
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -16,6 +16,13 @@
 /// not grow with the service. The requests of the other hosts even out the load of the shards.
 constexpr size_t kShardsPerHost = 8;
 
+/// Grants of paused upstreams after which a host selects the upstream of a request itself. An
+/// allocator grants one only if it was asked before the pause.
+constexpr uint32_t kMaxPausedGrants = 2;
+
+/// A pause holds for one host only, so that callers may come back to another one soon.
+constexpr Duration kMaxPauseRetryAfter = std::chrono::seconds(1);
+
 /// The limit of an upstream whose entry has expired is kept for this long.
 constexpr Duration kKnownLimitPeriod = std::chrono::seconds(60);
 
@@ -70,7 +77,6 @@
 
 void SlotClient::UpdateUpstreams(TimePoint aNow)
 {
-  notices_.Expire([this](std::string_view aId) { return init_.registry->Find(aId); }, aNow);
   std::unordered_map<std::string, size_t> counts;
   for (const auto& [id, upstream] : init_.registry->Upstreams()) {
     counts[upstream.service] += IsAccepting(upstream) ? 1 : 0;
@@ -199,6 +205,84 @@
   return upstreams;
 }
 
+void SlotClient::RecordPause(const HeldSlot& aSlot, Milliseconds aPause, TimePoint aAnsweredAt)
+{
+  const UpstreamPause pause{ aSlot.startedAtMs, aAnsweredAt, aAnsweredAt + aPause };
+  if (aPause == Milliseconds(0) || !notices_.RecordPause(aSlot.upstream, pause)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "upstream_paused",
+      { { "upstream", aSlot.upstream },
+        { "shard", aSlot.shard },
+        { "pause_ms", aPause.count() },
+        { "peer", Self() } });
+}
+
+std::vector<std::string> SlotClient::PausedUpstreams(std::string_view aService,
+                                                     TimePoint aNow) const
+{
+  std::vector<std::string> upstreams;
+  for (const auto& [id, pause] : notices_.Pauses()) {
+    const RegisteredUpstream* upstream = init_.registry->Find(id);
+    if (upstream != nullptr && upstream->service == aService &&
+        notices_.IsPaused(*upstream, aNow)) {
+      upstreams.push_back(id);
+    }
+  }
+  return upstreams;
+}
+
+std::map<std::string, size_t> SlotClient::PausedUpstreams() const
+{
+  std::map<std::string, size_t> counts;
+  for (const auto& [service, count] : shardCounts_) {
+    counts[service] = PausedUpstreams(service, init_.now()).size();
+  }
+  return counts;
+}
+
+void SlotClient::CancelAtAllocator(uint64_t aSequence, const PendingRequest& aPending)
+{
+  if (aPending.allocatorHost == Self()) {
+    GetShard(aPending.shard)
+      .allocator->Release({ selfKey_, aSequence }, Outcome::Cancelled, Duration(0), init_.now());
+  } else if (!aPending.allocatorHost.empty()) {
+    SendRelease(aPending.allocatorHost, aSequence, aPending.shard, nullptr, {});
+  }
+}
+
+bool SlotClient::FindUnpausedShard(uint64_t aSequence, TimePoint aNow)
+{
+  if (notices_.Pauses().empty()) {
+    return true;
+  }
+  PendingRequest& pending = pendingRequests_.at(aSequence);
+  const placement::SlotRequest request = MakeRequest(aSequence, pending.query);
+  const auto hasCandidate = [&](const std::string& aShard) {
+    return GetShard(aShard).allocator->HasCandidate(request);
+  };
+  if (request.avoid.empty() || hasCandidate(pending.shard)) {
+    return true;
+  }
+  CancelAtAllocator(aSequence, pending);
+  pending.allocatorHost.clear();
+  if (const auto used = usedShards_.find(pending.query.service); used != usedShards_.end()) {
+    for (const std::string& shard : used->second) {
+      if (hasCandidate(shard)) {
+        pending.shard = shard;
+        return true;
+      }
+    }
+  }
+  Duration retryAfter = kMaxPauseRetryAfter;
+  for (const std::string& upstream : request.avoid) {
+    retryAfter = std::min(retryAfter, notices_.Pauses().at(upstream).until - aNow);
+  }
+  OnRefused(aSequence, "upstreams_paused", retryAfter);
+  return false;
+}
+
 std::map<std::string, size_t> SlotClient::LeavingUpstreams() const
 {
   std::map<std::string, size_t> counts;
@@ -253,6 +337,7 @@
   request.targetBy = aQuery.targetBy;
   request.deadline = aQuery.deadline;
   request.exclude = aQuery.exclude;
+  request.avoid = PausedUpstreams(aQuery.service, init_.now());
   return request;
 }
 
@@ -271,8 +356,11 @@
 
 void SlotClient::RequestSlot(uint64_t aSequence)
 {
-  PendingRequest& pending = pendingRequests_.at(aSequence);
   const TimePoint now = init_.now();
+  if (!FindUnpausedShard(aSequence, now)) {
+    return;
+  }
+  PendingRequest& pending = pendingRequests_.at(aSequence);
   Shard& shard = GetShard(pending.shard);
   const std::string host = init_.members->Allocators(pending.shard, 1, now).front();
   if (shard.allocatorHost != host) {
@@ -310,6 +398,9 @@
   for (const std::string& upstream : pending.query.exclude) {
     request.add_exclude(upstream);
   }
+  for (const std::string& upstream : PausedUpstreams(pending.query.service, now)) {
+    request.add_avoid(upstream);
+  }
   pending.timer =
     init_.runAfter(init_.responseTimeout, [this, aSequence] { OnResponseTimer(aSequence); });
   init_.send(host, std::move(envelope));
@@ -361,26 +452,30 @@
   OnGranted(aSequence, upstream);
 }
 
-void SlotClient::RejectGrant(uint64_t aSequence, const std::string& aUpstream)
+void SlotClient::RejectGrant(uint64_t aSequence, const std::string& aUpstream, bool aIsPaused)
 {
   PendingRequest& pending = pendingRequests_.at(aSequence);
-  pending.query.exclude.push_back(aUpstream);
+  const bool mayAskAgain = aIsPaused && ++pending.pausedGrants <= kMaxPausedGrants;
+  if (!mayAskAgain) {
+    pending.query.exclude.push_back(aUpstream);
+  }
   if (pending.allocatorHost != Self()) {
-    SendRelease(pending.allocatorHost, aSequence, pending.shard, nullptr, {});
-    return PlaceLocally(aSequence);
+    return PlaceElsewhere(aSequence, mayAskAgain);
   }
   // The allocator of this host grants slots while it goes through its queue.
-  pending.timer = init_.runAfter(Duration(0), [this, aSequence] {
-    const auto found = pendingRequests_.find(aSequence);
-    if (found == pendingRequests_.end()) {
-      return;
+  pending.timer = init_.runAfter(Duration(0), [this, aSequence, mayAskAgain] {
+    if (pendingRequests_.contains(aSequence)) {
+      PlaceElsewhere(aSequence, mayAskAgain);
     }
-    GetShard(found->second.shard)
-      .allocator->Release({ selfKey_, aSequence }, Outcome::Cancelled, Duration(0), init_.now());
-    PlaceLocally(aSequence);
   });
 }
 
+void SlotClient::PlaceElsewhere(uint64_t aSequence, bool aAskAgain)
+{
+  CancelAtAllocator(aSequence, pendingRequests_.at(aSequence));
+  aAskAgain ? RequestSlot(aSequence) : PlaceLocally(aSequence);
+}
+
 void SlotClient::OnGranted(uint64_t aSequence, const std::string& aUpstream)
 {
   const auto found = pendingRequests_.find(aSequence);
@@ -393,7 +488,10 @@
   Shard& shard = GetShard(pending.shard);
   if (upstream == nullptr || !IsAccepting(*upstream)) {
     // The allocator knows less than this host, or the other way round.
-    return RejectGrant(aSequence, aUpstream);
+    return RejectGrant(aSequence, aUpstream, false);
+  }
+  if (notices_.IsPaused(*upstream, now)) {
+    return RejectGrant(aSequence, aUpstream, true);
   }
   HeldSlot slot{ pending.shard,         pending.allocatorHost,    aUpstream,
                  upstream->startedAtMs, pending.query.idempotent, pending.query.deadline };
@@ -448,6 +546,9 @@
     return;
   }
   const HeldSlot& slot = node.mapped();
+  if (aReport.pause) {
+    RecordPause(slot, *aReport.pause, aReport.answeredAt);
+  }
   if (aReport.requestLimit) {
     RecordLimit(slot.shard, slot.upstream, *aReport.requestLimit, aReport.answeredAt, Self());
   }
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -50,6 +50,8 @@
   std::optional<double> requestLimit;
   TimePoint answeredAt{}; ///< Of the response that names requestLimit.
   bool isLeaving = false; ///< The response says that the upstream leaves.
+  /// The upstream wants no requests of this host for so long.
+  std::optional<Milliseconds> pause;
 };
 
 /// Number of hosts that use one of the shards of a service, on average.
@@ -115,6 +117,8 @@
   std::vector<LeavingUpstream> UnregisteredLeaving() const;
   /// Number of upstreams that have said that they leave and still have an entry, by service.
   std::map<std::string, size_t> LeavingUpstreams() const;
+  /// Number of upstreams that want no requests of this host now, by service.
+  std::map<std::string, size_t> PausedUpstreams() const;
   /// Number of upstreams with a limit in force, by service, as far as this host knows them.
   std::map<std::string, size_t> LimitedUpstreams() const;
   std::string Describe() const; ///< One "shard=... " line for each shard, for /state.
@@ -138,6 +142,7 @@
     std::string
       allocatorHost;       ///< Host that was asked; empty: this host selects the upstream itself.
     uint32_t timeouts = 0; ///< Allocators that did not respond.
+    uint32_t pausedGrants = 0; ///< Grants of paused upstreams, which were turned down.
     bool isQueued = false;
     std::shared_ptr<void> timer;
   };
@@ -173,9 +178,18 @@
   /// Whether an upstream accepts new requests, as far as this host knows.
   bool IsAccepting(const RegisteredUpstream& aUpstream) const;
   bool RecordLeaving(LeavingUpstream aUpstream);
+  void RecordPause(const HeldSlot& aSlot, Milliseconds aPause, TimePoint aAnsweredAt);
+  /// The upstreams of a service that are paused for this host.
+  std::vector<std::string> PausedUpstreams(std::string_view aService, TimePoint aNow) const;
+  /// Finds a shard with an upstream that is not paused for the request. @return False if it was
+  /// refused because there is none.
+  bool FindUnpausedShard(uint64_t aSequence, TimePoint aNow);
+  /// Gives up the place of a request in the queue of its allocator.
+  void CancelAtAllocator(uint64_t aSequence, const PendingRequest& aPending);
   void RequestSlot(uint64_t aSequence);
   /// Returns a granted slot that this host must not use, and places the request elsewhere.
-  void RejectGrant(uint64_t aSequence, const std::string& aUpstream);
+  void RejectGrant(uint64_t aSequence, const std::string& aUpstream, bool aIsPaused);
+  void PlaceElsewhere(uint64_t aSequence, bool aAskAgain);
   void OnResponseTimer(uint64_t aSequence);
   void PlaceLocally(uint64_t aSequence);
   void OnGranted(uint64_t aSequence, const std::string& aUpstream);
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -78,6 +78,7 @@
     return;
   }
   nextSuspectsShare_ = aNow + init_.suspectsShareInterval;
+  notices_.Expire([this](std::string_view aId) { return init_.registry->Find(aId); }, aNow);
   const std::vector<std::string> successors = Allocators(aNow);
   for (auto& [key, shard] : shards_) {
     if (aNow - shard.lastRequestAt > kServingWindow) {
@@ -282,6 +283,7 @@
   }
   request.deadline = now + Milliseconds(message.left_ms());
   request.exclude.assign(message.exclude().begin(), message.exclude().end());
+  request.avoid.assign(message.avoid().begin(), message.avoid().end());
   Shard& shard = GetShard(message.shard());
   init_.members->RecordClient(aMessage.sender().host(), now);
   RecordServing(message.shard(), shard, now);
@@ -353,6 +355,15 @@
                         leaving.source,
                         leaving.startedAtMs);
   }
+  for (const auto& [id, pause] : notices_.Pauses()) {
+    if (now < pause.until) {
+      text += fmt::format("paused={} since_ms={} left_ms={} host={}\n",
+                          id,
+                          (now - pause.since) / Milliseconds(1),
+                          (pause.until - now) / Milliseconds(1),
+                          Self());
+    }
+  }
   for (const auto& [key, shard] : shards_) {
     const placement::SlotAllocatorStats stats = shard.allocator->Stats();
     text +=
--- a/packages/fleet/src/upstream_notices.cpp
+++ b/packages/fleet/src/upstream_notices.cpp
@@ -33,6 +33,28 @@
   return found != leaving_.end() && HoldsFor(found->second.startedAtMs, aUpstream.startedAtMs);
 }
 
+bool UpstreamNotices::RecordPause(std::string_view aUpstream, const UpstreamPause& aPause)
+{
+  const auto known = pauses_.find(aUpstream);
+  if (known == pauses_.end()) {
+    pauses_.emplace(aUpstream, aPause);
+    return true;
+  }
+  const bool isNextRun = !HoldsFor(known->second.startedAtMs, aPause.startedAtMs);
+  if (!isNextRun && aPause.until <= known->second.until) {
+    return false; // A late or shorter one does not end the pause.
+  }
+  known->second = aPause;
+  return true;
+}
+
+bool UpstreamNotices::IsPaused(const RegisteredUpstream& aUpstream, TimePoint aNow) const
+{
+  const auto found = pauses_.find(aUpstream.id);
+  return found != pauses_.end() && aNow < found->second.until &&
+         HoldsFor(found->second.startedAtMs, aUpstream.startedAtMs);
+}
+
 void UpstreamNotices::Expire(
   const std::function<const RegisteredUpstream*(std::string_view)>& aFind,
   TimePoint aNow)
@@ -45,6 +67,7 @@
     }
     return !HoldsFor(leaving.startedAtMs, upstream->startedAtMs);
   });
+  std::erase_if(pauses_, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
 }
 
 } // namespace bg::fleet::detail
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -99,7 +99,8 @@
                placement::Outcome aOutcome = placement::Outcome::Good,
                std::optional<double> aLimit = std::nullopt)
   {
-    hosts.at(aHost).slots->Release(aSequence, { aOutcome, Milliseconds(200), aLimit, now });
+    hosts.at(aHost).slots->Release(
+      aSequence, { aOutcome, Milliseconds(200), aLimit, now, false, std::nullopt });
     Deliver();
   }
 
--- a/packages/fleet/tests/slot_notices_test.cpp
+++ b/packages/fleet/tests/slot_notices_test.cpp
@@ -149,3 +149,93 @@
     CHECK(results.at(request).retryAfter <= std::chrono::seconds(1));
   }
 }
+
+TEST_CASE("an upstream that has asked a host for a pause gets no requests of that host")
+{
+  SlotFleet fleet(4, 0);
+  fleet.SetUpstreams(MakeUpstreams(4));
+  const std::string paused = fleet.OtherHost();
+  const std::string other = fleet.OtherHost(paused);
+  SlotReport refusal;
+  refusal.outcome = Outcome::Refused;
+  refusal.latency = Milliseconds(5);
+  refusal.pause = Milliseconds(30000);
+  const auto refuse = [&](std::initializer_list<int> aUpstreams) {
+    for (const int upstream : aUpstreams) {
+      AnswerFrom(fleet, paused, "upstream" + std::to_string(upstream), refusal);
+    }
+    fleet.Advance(Milliseconds(400));
+  };
+  SUBCASE("while it gets those of others")
+  {
+    refuse({ 1 });
+    CHECK(CountGrants(fleet, paused, "upstream1") == 0);
+    CHECK(CountGrants(fleet, other, "upstream1") > 0);
+  }
+  SUBCASE("until the pause ends")
+  {
+    refusal.pause = Milliseconds(2000);
+    refuse({ 1 });
+    fleet.Advance(Milliseconds(1600));
+    CHECK(CountGrants(fleet, paused, "upstream1") > 0);
+  }
+  SUBCASE("although its allocator has restarted")
+  {
+    refuse({ 1 });
+    fleet.Restart(fleet.AllocatorHost());
+    CHECK(CountGrants(fleet, paused, "upstream1") == 0);
+  }
+  SUBCASE("although the host reaches no other")
+  {
+    refuse({ 1 });
+    for (const auto& [name, host] : fleet.hosts) {
+      if (name != paused) {
+        fleet.stopped.insert(name);
+      }
+    }
+    CHECK(CountGrants(fleet, paused, "upstream1") == 0);
+  }
+  SUBCASE("nor does a host that is the allocator itself")
+  {
+    const std::string allocator = fleet.AllocatorHost();
+    AnswerFrom(fleet, allocator, "upstream1", refusal);
+    fleet.Advance(Milliseconds(400));
+    CHECK(CountGrants(fleet, allocator, "upstream1") == 0);
+    CHECK(CountGrants(fleet, other, "upstream1") > 0);
+  }
+  SUBCASE("also for requests that were queued before")
+  {
+    refuse({ 0, 1, 2 });
+    std::vector<uint64_t> held;
+    for (int i = 0; i < 12; ++i) {
+      held.push_back(fleet.Acquire(other));
+      fleet.Advance(Milliseconds(10));
+    }
+    const uint64_t queued = fleet.Acquire(paused);
+    const uint64_t behind = fleet.Acquire(other);
+    REQUIRE(fleet.hosts.at(paused).results.count(queued) == 0);
+    for (const uint64_t request : held) {
+      if (fleet.GrantedUpstream(other, request) == "upstream1") {
+        fleet.Release(other, request);
+        break;
+      }
+    }
+    CHECK(fleet.GrantedUpstream(other, behind) == "upstream1");
+    CHECK(fleet.GrantedUpstream(paused, queued).empty());
+  }
+  SUBCASE("and its requests are refused at once while all upstreams are paused for it")
+  {
+    refusal.pause = Milliseconds(600);
+    for (int i = 0; i < 4; ++i) {
+      AnswerFrom(fleet, paused, "upstream" + std::to_string(i), refusal);
+    }
+    const uint64_t request = fleet.Acquire(paused);
+    const auto& results = fleet.hosts.at(paused).results;
+    REQUIRE(results.contains(request));
+    CHECK_FALSE(results.at(request).isGranted);
+    CHECK(results.at(request).reason == "upstreams_paused");
+    CHECK(results.at(request).retryAfter > Duration(0));
+    CHECK(results.at(request).retryAfter <= Milliseconds(600));
+    CHECK_FALSE(fleet.GrantedUpstream(other, fleet.Acquire(other)).empty());
+  }
+}
--- a/packages/fleet/tests/upstream_notices_test.cpp
+++ b/packages/fleet/tests/upstream_notices_test.cpp
@@ -72,3 +72,44 @@
     }
   }
 }
+
+TEST_CASE("an upstream that has asked a host for a pause")
+{
+  UpstreamNotices notices;
+  const auto pause = [](int64_t aRun, Duration aSince, Duration aLength) {
+    return UpstreamPause{ aRun, kStart + aSince, kStart + aSince + aLength };
+  };
+  const auto at = [](int64_t aMs) { return kStart + Milliseconds(aMs); };
+  REQUIRE(notices.RecordPause("one", pause(1000, Duration(0), Milliseconds(2000))));
+  SUBCASE("is paused until it ends")
+  {
+    CHECK(notices.IsPaused(Run(1000), at(0)));
+    CHECK(notices.IsPaused(Run(1000), at(1999)));
+    CHECK_FALSE(notices.IsPaused(Run(1000), at(2000)));
+  }
+  SUBCASE("is paused until the last of several ends, in whichever order they arrive")
+  {
+    CHECK_FALSE(notices.RecordPause("one", pause(1000, Milliseconds(100), Milliseconds(500))));
+    CHECK(notices.IsPaused(Run(1000), at(1999)));
+    CHECK(notices.RecordPause("one", pause(1000, Milliseconds(100), Milliseconds(3000))));
+    CHECK(notices.IsPaused(Run(1000), at(3099)));
+  }
+  SUBCASE("is not paused in its next run under the same id")
+  {
+    CHECK_FALSE(notices.IsPaused(Run(1001), at(100)));
+    SUBCASE("unless that asks for one as well")
+    {
+      CHECK(notices.RecordPause("one", pause(1001, Milliseconds(100), Milliseconds(500))));
+      CHECK(notices.IsPaused(Run(1001), at(599)));
+      CHECK_FALSE(notices.IsPaused(Run(1001), at(600)));
+    }
+  }
+  SUBCASE("is forgotten after its end")
+  {
+    const RegisteredUpstream same = Run(1000);
+    notices.Expire([&](std::string_view) { return &same; }, at(1999));
+    CHECK(notices.Pauses().size() == 1);
+    notices.Expire([&](std::string_view) { return &same; }, at(2000));
+    CHECK(notices.Pauses().empty());
+  }
+}
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -66,6 +66,7 @@
   TimePoint targetBy{};             ///< Latency target; unset when there is none.
   TimePoint deadline{};             ///< A later response is useless to the caller.
   std::vector<std::string> exclude; ///< Ids of upstreams already tried or unreachable.
+  std::vector<std::string> avoid;   ///< Ids of upstreams that want no requests of the host now.
 };
 
 struct Grant
@@ -77,7 +78,8 @@
 struct Refusal
 {
   LeaseId lease;
-  std::string_view reason;  ///< "no_upstream", "overload" or "retry_budget".
+  /// "no_upstream", "upstreams_paused", "overload" or "retry_budget".
+  std::string_view reason;
   Duration retryAfter{ 0 }; ///< Expected time until a slot is free.
 };
 
@@ -299,6 +301,9 @@
   /// @return False when the request is queued.
   bool Request(const SlotRequest& aRequest, TimePoint aNow);
 
+  /// Whether any upstream may be used for a request, now or later.
+  bool HasCandidate(const SlotRequest& aRequest) const;
+
   /// Picks an upstream without queueing and regardless of free slots. For hosts that cannot reach
   /// the shared allocator. @return Id of the upstream; empty when all are excluded or limited.
   /// @param aHosts Hosts that may do the same; they share the limits of upstreams.
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -114,6 +114,15 @@
   return !aRequest.idempotent || aRequest.isRetry;
 }
 
+/// Whether the request must not be sent to an upstream.
+bool IsExcluded(const SlotRequest& aRequest, const std::string& aUpstream)
+{
+  const auto contains = [&](const std::vector<std::string>& aIds) {
+    return std::find(aIds.begin(), aIds.end(), aUpstream) != aIds.end();
+  };
+  return contains(aRequest.exclude) || contains(aRequest.avoid);
+}
+
 /// Decay of the counts of recent results over a time.
 double ResultDecay(Duration aTime)
 {
@@ -182,6 +191,10 @@
   if (queueKeys_.contains(aRequest.lease)) {
     return false;
   }
+  if (!aRequest.avoid.empty() && !HasCandidate(aRequest)) {
+    Refuse(aRequest.lease, "upstreams_paused", serviceTime_, aNow);
+    return true;
+  }
   if (!aRequest.isRetry) {
     retries_.OnRequest(aNow);
   } else if (!retries_.TryTake(
@@ -206,6 +219,13 @@
   return !queueKeys_.contains(aRequest.lease);
 }
 
+bool SlotAllocator::HasCandidate(const SlotRequest& aRequest) const
+{
+  return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& aUpstream) {
+    return !IsExcluded(aRequest, aUpstream.first);
+  });
+}
+
 void SlotAllocator::Enqueue(const SlotRequest& aRequest, const QueueKey& aKey)
 {
   queue_.emplace(aKey, aRequest);
@@ -459,11 +479,10 @@
   Selection best;
   std::pair<int, double> bestCost{ INT32_MAX, 0 };
   for (auto& [id, upstream] : upstreams_) {
-    const bool isExcluded =
-      std::find(aRequest.exclude.begin(), aRequest.exclude.end(), id) != aRequest.exclude.end();
     const bool isFull =
       upstream.inFlight >= upstream.info.slots || upstream.health.PausedUntil() > aNow;
-    if (isExcluded || (aRequireFreeSlot && isFull) || IsOverLimit(upstream, aContext, aNow)) {
+    if (IsExcluded(aRequest, id) || (aRequireFreeSlot && isFull) ||
+        IsOverLimit(upstream, aContext, aNow)) {
       continue;
     }
     const bool isFailing = upstream.health.IsSuspect() &&
@@ -610,7 +629,8 @@
     const Selection selection = SelectUpstream(next->second, context, aNow, true);
     if (selection.upstream == nullptr) {
       hasProvenSlot = hasProvenSlot && !context.mayAwaitProof;
-      misses += context.mayAwaitProof ? 0 : 1;
+      // Requests of a paused host must not block those of others.
+      misses += context.mayAwaitProof || !next->second.avoid.empty() ? 0 : 1;
       continue;
     }
     if (next->first.isLate) {
@@ -671,7 +691,8 @@
   for (auto next = queue_.begin(); next != queue_.end();) {
     const Duration wait = ExpectedWait(ahead);
     const bool isInTime = aNow + wait <= LatestStart(next->second);
-    if (totalSlots_ > 0 && isInTime && !(next->first.isLate && refusesLate)) {
+    const bool hasCandidate = next->second.avoid.empty() || HasCandidate(next->second);
+    if (totalSlots_ > 0 && hasCandidate && isInTime && !(next->first.isLate && refusesLate)) {
       ++ahead;
       ++next;
       continue;
@@ -679,7 +700,12 @@
     const LeaseId lease = next->second.lease;
     queueKeys_.erase(lease);
     next = queue_.erase(next);
-    Refuse(lease, totalSlots_ == 0 ? "no_upstream" : "overload", wait, aNow);
+    Refuse(lease,
+           totalSlots_ == 0 ? "no_upstream"
+           : hasCandidate   ? "overload"
+                            : "upstreams_paused",
+           wait,
+           aNow);
   }
 }
 
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -304,6 +304,65 @@
   CHECK(fixture.allocator.Suspects().empty());
 }
 
+TEST_CASE("an upstream that wants no requests of one host")
+{
+  AllocatorFixture fixture;
+  fixture.SetUpstreams({ { "one", "a", 12 }, { "two", "a", 12 } });
+  const auto makePaused = [&] {
+    SlotRequest request = fixture.MakeRequest();
+    request.avoid = { "one" };
+    return request;
+  };
+  SUBCASE("is not granted to that host")
+  {
+    for (int i = 0; i < 12; ++i) {
+      CHECK(fixture.Acquire(makePaused()) == "two");
+    }
+    CHECK(fixture.Acquire(makePaused()).empty());
+    CHECK(fixture.Acquire() == "one");
+  }
+  SUBCASE("is granted to requests of other hosts behind many of that host")
+  {
+    for (int i = 0; i < 24; ++i) {
+      REQUIRE_FALSE(fixture.Acquire().empty());
+    }
+    for (int i = 0; i < 12; ++i) {
+      fixture.now += Milliseconds(1);
+      fixture.Acquire(makePaused());
+    }
+    fixture.now += Milliseconds(1);
+    fixture.Acquire();
+    const uint64_t behind = fixture.sequence;
+    for (uint64_t sequence = 1; sequence <= 24; ++sequence) {
+      if (fixture.granted[sequence] == "one") {
+        fixture.Release(sequence, Outcome::Good);
+        break;
+      }
+    }
+    CHECK(fixture.granted[behind] == "one");
+  }
+  SUBCASE("counts as excluded for a host that no other wants either")
+  {
+    SlotRequest request = makePaused();
+    request.exclude = { "two" };
+    CHECK(fixture.Acquire(request).empty());
+    REQUIRE(fixture.refused.contains(request.lease.sequence));
+    CHECK(fixture.refused[request.lease.sequence].reason == "upstreams_paused");
+    CHECK(fixture.refused[request.lease.sequence].retryAfter > Duration(0));
+    SUBCASE("also when the others leave while its request is queued")
+    {
+      for (int i = 0; i < 12; ++i) {
+        fixture.Acquire(makePaused());
+      }
+      const SlotRequest queued = makePaused();
+      CHECK(fixture.Acquire(queued).empty());
+      CHECK_FALSE(fixture.refused.contains(queued.lease.sequence));
+      fixture.SetUpstreams({ { "one", "a", 12 } });
+      CHECK(fixture.refused.contains(queued.lease.sequence));
+    }
+  }
+}
+
 TEST_CASE("a host that cannot reach the shared allocator")
 {
   AllocatorFixture fixture;
