--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -177,6 +177,7 @@
       "upstream_leaving",
       { { "upstream", aUpstream.id },
         { "service", upstream == nullptr ? "" : upstream->service },
+        { "started_at_ms", aUpstream.startedAtMs },
         { "peer", aUpstream.source },
         { "age_ms", (now - aUpstream.since) / Milliseconds(1) },
         { "draining", upstream == nullptr || upstream->isDraining } });
