Fleet: last reports of removed upstreams have a field of their own

A host that gets a view over two paths, or has the state already, takes no removal from the second one, but took the report: an upstream whose runs cannot be told apart, for which no tombstone decides, came back until the next full view.

They are now a field of views. A host records them against the entry that it has, or as a tombstone, also if it has never known the upstream; of a view with the digest of its own state it takes reports of upstreams that it has. The new checks fail with that condition removed.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -201,10 +201,11 @@
       *view.add_changed() = ToWire(upstream);
     }
   } else {
-    for (const auto* upstreams : { &aChange->lastReports, &aChange->changed }) {
-      for (const RegisteredUpstream& upstream : *upstreams) {
-        *view.add_changed() = ToWire(upstream);
-      }
+    for (const RegisteredUpstream& upstream : aChange->changed) {
+      *view.add_changed() = ToWire(upstream);
+    }
+    for (const RegisteredUpstream& upstream : aChange->lastReports) {
+      *view.add_last_reports() = ToWire(upstream);
     }
     for (const std::string& id : aChange->removed) {
       view.add_removed(id);
@@ -342,6 +343,9 @@
   for (const wire::Upstream& upstream : aView.changed()) {
     change.changed.push_back(FromWire(upstream));
   }
+  for (const wire::Upstream& upstream : aView.last_reports()) {
+    change.lastReports.push_back(FromWire(upstream));
+  }
   change.removed.assign(aView.removed().begin(), aView.removed().end());
   const bool fits = registry_.ApplyPeerView(change,
                                             aView.full(),
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "registry_p.h"
 
@@ -86,6 +87,26 @@
   upstreams_.erase(current);
 }
 
+void Registry::RecordLastReport(const RegisteredUpstream& aUpstream, TimePoint aNow)
+{
+  if (const auto current = upstreams_.find(aUpstream.id); current != upstreams_.end()) {
+    const bool isSameRun = current->second.startedAtMs == aUpstream.startedAtMs;
+    if (isSameRun && current->second.sequence < aUpstream.sequence) {
+      current->second.sequence = aUpstream.sequence;
+    }
+    return;
+  }
+  const auto known = tombstones_.find(aUpstream.id);
+  const bool isOlder =
+    known != tombstones_.end() && std::tie(aUpstream.startedAtMs, aUpstream.sequence) <=
+                                    std::tie(known->second.startedAtMs, known->second.sequence);
+  if (!isOlder) {
+    tombstones_.insert_or_assign(
+      aUpstream.id,
+      Tombstone{ aUpstream.startedAtMs, aUpstream.sequence, aNow + init_.tombstonePeriod });
+  }
+}
+
 bool Registry::RecordRead(StorePosition aPosition, TimePoint aNow)
 {
   if (hasState_ && aNow - lastRead_ > init_.outageThreshold &&
@@ -215,7 +236,13 @@
     }
   }
   for (const RegisteredUpstream& upstream : aChange.changed) {
-    Upsert(upstream, aNow, aLocalChange);
+    // The state is that of the peer already, so that only the reports can be newer.
+    if (!isKnown || upstreams_.contains(upstream.id)) {
+      Upsert(upstream, aNow, aLocalChange);
+    }
+  }
+  for (const RegisteredUpstream& upstream : aChange.lastReports) {
+    RecordLastReport(upstream, aNow);
   }
   for (const std::string& id : removed) {
     Remove(id, aNow, aLocalChange);
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -115,6 +115,8 @@
 
   void Upsert(const RegisteredUpstream& aUpstream, TimePoint aNow, RegistryChange& aChange);
   void Remove(const std::string& aId, TimePoint aNow, RegistryChange& aChange);
+  /// Records the last report of an upstream that was removed.
+  void RecordLastReport(const RegisteredUpstream& aUpstream, TimePoint aNow);
   /// Whether a newer report of the upstream is known.
   bool IsStale(const RegisteredUpstream& aUpstream, TimePoint aNow) const;
   /// Records a read of the store. @return False if the state is already newer than the response.
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -391,6 +391,14 @@
       CHECK(peer.ApplyChanges(Entries(late), At(14), kStart).Empty());
       CHECK(peer.Find("one")->isDraining);
     }
+    SUBCASE("but no upstream that the state does not have")
+    {
+      change.changed = { MakeUpstream("gone") };
+      REQUIRE(
+        peer.ApplyPeerView(change, false, At(12), store.Digest(), kStart, kStart, localChange));
+      CHECK(localChange.Empty());
+      CHECK(peer.Find("gone") == nullptr);
+    }
     SUBCASE("in a snapshot as well")
     {
       change.changed = { report(8, true) };
@@ -404,10 +412,24 @@
       CHECK(store.ApplyChanges(Entries(again), At(12), kStart).Empty());
       change = store.ApplyChanges(Deleted("one"), At(13), kStart);
       REQUIRE(change.lastReports.size() == 1);
-      change.changed = change.lastReports; // As messages carry them.
       REQUIRE(
         peer.ApplyPeerView(change, false, At(13), store.Digest(), kStart, kStart, localChange));
       const std::vector<RegisteredUpstream> late = { report(7, false) };
+      SUBCASE("also by a host that did not know it")
+      {
+        Registry started;
+        started.ApplySnapshot({}, At(12), kStart);
+        REQUIRE(started.ApplyPeerView(
+          change, false, At(13), store.Digest(), kStart, kStart, localChange));
+        CHECK(localChange.Empty());
+        CHECK(started.ApplySnapshot(Entries(late), At(10, 2), kStart).Empty());
+      }
+      SUBCASE("twice, over two paths")
+      {
+        REQUIRE(
+          peer.ApplyPeerView(change, false, At(13), store.Digest(), kStart, kStart, localChange));
+        CHECK(localChange.Empty());
+      }
       CHECK(peer.ApplySnapshot(Entries(late), At(10, 2), kStart).Empty());
       CHECK(peer.Find("one") == nullptr);
     }
