Fleet: a notice is recorded before the slot of its response is granted again

The allocator of the host itself grants the slot of a finished request to a queued one at once; the response that said that the upstream leaves was recorded after that, so that one more request went there. Pauses were recorded in time. The shards are updated after the release, so that its outcome still counts, and once for all upstreams of a view.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -237,8 +237,7 @@
   bool isRegistered_ = false;
   bool isStoreAvailable_ = true;
   bool isReady_ = false;
-  bool hasNewLeaving_ =
-    false; ///< Upstreams have told this host that they leave; peers do not know.
+  bool hasNewLeaving_ = false; ///< See SlotClientInit::onLeaving.
   bool isStopping_ = false;
   TimePoint lastStoreFailure_{}; ///< Valid while storeFailures_ is not 0.
   TimePoint nextAllocatorHello_{};
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -166,9 +166,8 @@
   return !aUpstream.isDraining && !notices_.IsLeaving(aUpstream);
 }
 
-bool SlotClient::RecordLeaving(LeavingUpstream aUpstream)
+bool SlotClient::RecordLeaving(const LeavingUpstream& aUpstream)
 {
-  const TimePoint now = init_.now();
   if (!notices_.RecordLeaving(aUpstream)) {
     return false;
   }
@@ -179,9 +178,8 @@
         { "service", upstream == nullptr ? "" : upstream->service },
         { "started_at_ms", aUpstream.startedAtMs },
         { "peer", aUpstream.source },
-        { "age_ms", (now - aUpstream.since) / Milliseconds(1) },
+        { "age_ms", (init_.now() - aUpstream.since) / Milliseconds(1) },
         { "draining", upstream == nullptr || upstream->isDraining } });
-  UpdateUpstreams(now);
   return true;
 }
 
@@ -191,6 +189,9 @@
   for (const LeavingUpstream& upstream : aUpstreams) {
     isNews = RecordLeaving(upstream) || isNews;
   }
+  if (isNews) {
+    UpdateUpstreams(init_.now());
+  }
   return isNews;
 }
 
@@ -474,7 +475,11 @@
 void SlotClient::PlaceElsewhere(uint64_t aSequence, bool aAskAgain)
 {
   CancelAtAllocator(aSequence, pendingRequests_.at(aSequence));
-  aAskAgain ? RequestSlot(aSequence) : PlaceLocally(aSequence);
+  if (aAskAgain) {
+    RequestSlot(aSequence);
+  } else {
+    PlaceLocally(aSequence);
+  }
 }
 
 void SlotClient::OnGranted(uint64_t aSequence, const std::string& aUpstream)
@@ -547,9 +552,13 @@
     return;
   }
   const HeldSlot& slot = node.mapped();
+  // The release of the slot grants it to a queued request, which must not go to this upstream.
   if (aReport.pause) {
     RecordPause(slot, *aReport.pause, aReport.answeredAt);
   }
+  const bool hasNewLeaving =
+    aReport.isLeaving &&
+    RecordLeaving({ slot.upstream, slot.startedAtMs, aReport.answeredAt, Self() });
   if (aReport.requestLimit) {
     RecordLimit(slot.shard, slot.upstream, *aReport.requestLimit, aReport.answeredAt, Self());
   }
@@ -559,10 +568,11 @@
   if (host != Self() && !host.empty()) {
     SendRelease(host, aSequence, slot.shard, &slot, aReport);
   }
-  if (aReport.isLeaving &&
-      RecordLeaving({ slot.upstream, slot.startedAtMs, aReport.answeredAt, Self() }) &&
-      init_.onLeaving) {
-    init_.onLeaving();
+  if (hasNewLeaving) {
+    UpdateUpstreams(now);
+    if (init_.onLeaving) {
+      init_.onLeaving();
+    }
   }
 }
 
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -177,7 +177,8 @@
   void SelectUsedShards();
   /// Whether an upstream accepts new requests, as far as this host knows.
   bool IsAccepting(const RegisteredUpstream& aUpstream) const;
-  bool RecordLeaving(LeavingUpstream aUpstream);
+  /// @return True if it was not known, so that the shards have to be updated.
+  bool RecordLeaving(const LeavingUpstream& aUpstream);
   void RecordPause(const HeldSlot& aSlot, Milliseconds aPause, TimePoint aAnsweredAt);
   /// The upstreams of a service that are paused for this host.
   std::vector<std::string> PausedUpstreams(std::string_view aService, TimePoint aNow) const;
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -312,16 +312,18 @@
                 now - Milliseconds(message.answer_age_ms()),
                 aMessage.sender().host());
   }
+  const bool hasNewLeaving =
+    message.leaving() && RecordLeaving({ message.upstream(),
+                                         message.started_at_ms(),
+                                         now - Milliseconds(message.answer_age_ms()),
+                                         aMessage.sender().host() });
   GetShard(message.shard())
     .allocator->Release({ HostKey(aMessage.sender()), message.sequence() },
                         static_cast<Outcome>(message.outcome()),
                         Milliseconds(message.latency_ms()),
                         now);
-  if (message.leaving()) {
-    RecordLeaving({ message.upstream(),
-                    message.started_at_ms(),
-                    now - Milliseconds(message.answer_age_ms()),
-                    aMessage.sender().host() });
+  if (hasNewLeaving) {
+    UpdateUpstreams(now);
   }
 }
 
