--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -133,8 +133,9 @@
 /// Metadata of a caller's request.
 struct CallerMetadata
 {
-  std::string requestId;
-  std::optional<Milliseconds> deadline; ///< Time left for the request.
+  std::string requestId{};
+  std::optional<Milliseconds> deadline{}; ///< Time left for the request.
+  std::string account{};                  ///< What identifies the client account; may be empty.
 };
 
 /// Metadata of an upstream's response.
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -1,5 +1,7 @@
 #include "session_p.h"
 
+#include "request_fingerprint_p.h"
+
 namespace bg::fleet::detail {
 
 namespace {
@@ -58,6 +60,7 @@
   , request_(std::move(aRequest))
   , reply_(std::move(aReply))
   , caller_(traffic_.Control().Dialect().readCaller(request_.headers))
+  , fingerprint_(RequestFingerprint(request_, caller_))
   , receivedAt_(Now())
 {
   traffic_.SessionStarted();
@@ -207,6 +210,7 @@
           { "service", service_ },
           { "attempt", attempts_ },
           { "outcome", ToString(aOutcome) },
+          { "fingerprint", FormatFingerprint(fingerprint_) },
           { "latency_ms", ToMilliseconds(latency) },
           { "detail", aDetail } });
   }
@@ -415,6 +419,7 @@
         { "rule", aRule },
         { "service", service_ },
         { "route", route_ == nullptr ? "" : route_->id },
+        { "fingerprint", FormatFingerprint(fingerprint_) },
         { "revision", routes_ ? routes_->Configuration().revision : 0 },
         { "attempts", attempts_ },
         { "unreachable", unreachableCount_ },
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -125,6 +125,7 @@
   HttpRequest request_;
   std::shared_ptr<HttpReply> reply_;
   CallerMetadata caller_;
+  uint64_t fingerprint_; ///< See RequestFingerprint().
   std::shared_ptr<const RouteTable> routes_; ///< Keeps the route alive.
   const FleetRoute* route_ = nullptr;
   std::string service_;
