Fleet: reconnect at once to a host that has been restarted

A restarted host got no views and no answers for slots until the sockets of its peers tried again: after four seconds of being down, ZeroMQ's back-off is up to 2 s. Seen while testing that such a host learns of suspect requests before it serves: it asked a peer, whose answer was dropped, and began after the 300 ms limit. A message with a later incarnation now replaces the connection.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -37,7 +37,15 @@
 
 bool FleetControl::AddMember(const Member& aMember)
 {
-  const bool isNew = members_->Find(aMember.host) == nullptr;
+  const Member* known = members_->Find(aMember.host);
+  const bool isNew = known == nullptr;
+  const bool isRestarted = !isNew && known->incarnation < aMember.incarnation;
+  if (isRestarted && aMember.host != init_.host) {
+    // The connection to the earlier process may wait for seconds before it is tried again.
+    transport_->RemovePeer(aMember.host);
+    connectedPeers_.erase(aMember.host);
+    arePeersConnected_ = false;
+  }
   if (members_->Add(aMember)) {
     connectedPeers_.erase(aMember.host);
     arePeersConnected_ = false;
