--- a/packages/base/include/boragegauge/config.h
+++ b/packages/base/include/boragegauge/config.h
@@ -36,4 +36,7 @@
 /// Largest message between proxies.
 constexpr size_t kMaxPeerMessageBytes = 20UL << 20;
 
+/// Requests under which upstreams have crashed that one host knows, about 0.5 KB each.
+constexpr size_t kMaxSuspectRequests = 1024;
+
 } // namespace bg
--- a/packages/ctl/src/log_timeline.cpp
+++ b/packages/ctl/src/log_timeline.cpp
@@ -57,6 +57,11 @@
     { "invalid_response", "the response was not the upstream's own" },
     { "upstream_timeout", "the upstream did not respond in time" },
     { "deadline", "its time was over" },
+    { "request_quarantined",
+      "upstreams have crashed under this request, which is kept from others" },
+    { "request_on_trial",
+      "upstreams have crashed under this request, which another host is sending" },
+    { "request_suspected", "a second upstream has crashed under the request" },
     { "unknown_route", "the configuration of the host had no route for it" },
     { "no_configuration", "the host had no configuration yet" },
   };
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -48,7 +48,7 @@
       std::shared_ptr<EventLoop::Timer>(loop_.RunAfter(aDelay, std::move(aCallback))));
   };
   slots.now = Now;
-  slots.onLeaving = [this] { hasNewLeaving_ = true; };
+  slots.onNews = [this] { hasNews_ = true; };
   slots.retries = { init_.retryRatio, init_.retrySlack, init_.retryWindow };
   slots_ = std::make_unique<SlotClient>(std::move(slots));
 }
@@ -150,6 +150,20 @@
   loop_.Post([=, this] { slots_->Release(aSequence, aReport); });
 }
 
+void FleetControl::ReportCrash(uint64_t aFingerprint,
+                               quarantine::Crash aCrash,
+                               std::string aRequestId,
+                               std::string aTarget)
+{
+  loop_.Post([this,
+              aFingerprint,
+              aCrash = std::move(aCrash),
+              aRequestId = std::move(aRequestId),
+              aTarget = std::move(aTarget)]() mutable {
+    slots_->ReportCrash(aFingerprint, std::move(aCrash), aRequestId, aTarget);
+  });
+}
+
 Duration FleetControl::Jitter(Duration aMax)
 {
   return aMax * static_cast<int64_t>(random_() % 1024) / 1024;
@@ -160,7 +174,7 @@
   const TimePoint now = Now();
   RevalidateAfterPause(now);
   slots_->Tick(now);
-  if (std::exchange(hasNewLeaving_, false)) {
+  if (std::exchange(hasNews_, false)) {
     ShareView({}, false);
   }
   ReadStore(now);
@@ -221,8 +235,10 @@
 /// A store that was restored may have an older configuration than the peers of a host that starts.
 bool FleetControl::AwaitsPeerState(TimePoint aNow) const
 {
-  const bool hasPeerState = receivedViewAt_ > startedAt_ && !IsWanted(newestKnown_);
-  return resumedAt_ == startedAt_ && !init_.isFirstStart && members_->Count() > 1 &&
+  const bool hasPeerState =
+    receivedViewAt_ > startedAt_ && !IsWanted(newestKnown_) && !awaitsSuspects_;
+  const bool mayHavePeers = members_->Count() > 1 || !hasReadMembers_;
+  return resumedAt_ == startedAt_ && !init_.isFirstStart && mayHavePeers &&
          !hasPeerState && aNow - startedAt_ < kPeerStateTimeout;
 }
 
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -67,12 +67,19 @@
   /// The callback runs on the control thread.
   void Acquire(uint64_t aSequence, SlotQuery aQuery, SlotCallback aCallback);
   void Release(uint64_t aSequence, const SlotReport& aReport);
+  /// See SlotClient::ReportCrash().
+  void ReportCrash(uint64_t aFingerprint,
+                   quarantine::Crash aCrash,
+                   std::string aRequestId,
+                   std::string aTarget);
   /// Number of upstreams with a request limit in force, by service. Control thread only.
   std::map<std::string, size_t> LimitedUpstreams() const { return slots_->LimitedUpstreams(); }
   /// Number of upstreams that leave by their responses, by service. Control thread only.
   std::map<std::string, size_t> LeavingUpstreams() const { return slots_->LeavingUpstreams(); }
   /// Number of upstreams that want no requests of this host now, by service. Control thread only.
   std::map<std::string, size_t> PausedUpstreams() const { return slots_->PausedUpstreams(); }
+  /// Number of requests that are rejected because they crash upstreams. Control thread only.
+  size_t QuarantinedRequests() const { return slots_->Quarantine().CountQuarantined(Now()); }
   /// Control thread only, like StoreEpoch().
   const MeteredStore::Counts& StoreCallCounts() const { return store_->Calls(); }
   uint64_t StoreEpoch() const { return storeEpoch_.value_or(0); }
@@ -141,10 +148,17 @@
   /// Asks a peer for its state, and for the members as well if aWantsMembers is true.
   void AskForState(std::string_view aHost, bool aWantsMembers);
   /// Sends a change, or a full snapshot if aChange is null.
+  /// @param aWithAllSuspects Add all suspect requests, not only those with news.
   void SendView(std::span<const std::string> aHosts,
                 const RegistryChange* aChange,
                 const wire::Document* aConfiguration,
-                std::span<const std::string> aJoined = {});
+                std::span<const std::string> aJoined = {},
+                bool aWithAllSuspects = false);
+  void HandleSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
+                      const std::string& aHost,
+                      TimePoint aNow);
+  void CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow);
+  void AddSuspectRequests(wire::View& aView, bool aAll, TimePoint aNow) const;
   /// Returns the encoded configuration if it is small enough to go along with a view; otherwise
   /// null.
   /// @param aKnownDigest See SharedDocument::Encode().
@@ -237,7 +251,7 @@
   bool isRegistered_ = false;
   bool isStoreAvailable_ = true;
   bool isReady_ = false;
-  bool hasNewLeaving_ = false; ///< See SlotClientInit::onLeaving.
+  bool hasNews_ = false; ///< See SlotClientInit::onNews.
   bool isStopping_ = false;
   TimePoint lastStoreFailure_{}; ///< Valid while storeFailures_ is not 0.
   TimePoint nextAllocatorHello_{};
@@ -249,8 +263,12 @@
   TimePoint nextMemberChangesRead_{};
   TimePoint nextMembersRequest_{}; ///< Of the members that a peer knows.
   Duration membersRequestInterval_{ 0 };
-  TimePoint nextViewRequest_{}; ///< To a peer whose change did not fit the state of this host.
-  TimePoint fullViewsSince_{};  ///< Start of the second in which fullViews_ were sent.
+  TimePoint nextSuspectsRequest_{}; ///< See CheckSuspects().
+  Duration suspectsRequestInterval_ = Milliseconds(500);
+  bool hasComparedSuspects_ = false; ///< With those of a peer, since the start.
+  bool awaitsSuspects_ = false;      ///< A peer was asked for its suspect requests at the start.
+  TimePoint nextViewRequest_{};      ///< To a peer whose change did not fit the state of this host.
+  TimePoint fullViewsSince_{};       ///< Start of the second in which fullViews_ were sent.
   uint32_t fullViews_ = 0;
   /// Time of the next read of the members or attempt to register; TimePoint::max() during a call.
   TimePoint nextMembersRead_{};
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -30,6 +30,15 @@
 constexpr Duration kMaxReaderAge = std::chrono::seconds(1);
 /// Time for a new connection to a peer. Messages that are sent earlier would be dropped.
 constexpr Duration kPeerConnectTime = Milliseconds(20);
+/// Views carry news of suspect requests for this long, so that a lost view does not matter. A host
+/// that receives no views for longer asks for the state, and then gets all of them.
+constexpr Duration kSuspectNewsPeriod = std::chrono::seconds(3);
+/// Suspect requests in one message; each takes some 60 bytes a crash.
+constexpr size_t kMaxSharedSuspects = 64;
+/// Limits of the interval between requests for the suspect requests of a peer that knows others.
+/// The lower one is longer than news takes to reach all hosts.
+constexpr Duration kMinSuspectsRequestInterval = Milliseconds(500);
+constexpr Duration kMaxSuspectsRequestInterval = std::chrono::seconds(32);
 /// Messages that wait for new connections.
 constexpr size_t kMaxPendingMessages = 256;
 
@@ -193,7 +202,8 @@
 void FleetControl::SendView(std::span<const std::string> aHosts,
                             const RegistryChange* aChange,
                             const wire::Document* aConfiguration,
-                            std::span<const std::string> aJoined)
+                            std::span<const std::string> aJoined,
+                            bool aWithAllSuspects)
 {
   if (aHosts.empty()) {
     return;
@@ -233,6 +243,7 @@
   for (const LeavingUpstream& upstream : slots_->UnregisteredLeaving()) {
     *view.add_leaving() = ToWire(upstream, now);
   }
+  AddSuspectRequests(view, aWithAllSuspects, now);
   view.set_members_digest(members_->Digest());
   view.set_reader_order(readerOrder_);
   CompressView(envelope);
@@ -242,6 +253,56 @@
   }
 }
 
+void FleetControl::AddSuspectRequests(wire::View& aView, bool aAll, TimePoint aNow) const
+{
+  for (const quarantine::SuspectRequest* request :
+       slots_->Quarantine().MostSuspected(kMaxSharedSuspects)) {
+    if (aAll || aNow - request->changedAt < kSuspectNewsPeriod) {
+      *aView.add_suspects() = ToWire(*request, aNow);
+    }
+  }
+  aView.set_suspects_digest(slots_->Quarantine().Digest());
+}
+
+void FleetControl::HandleSuspects(
+  const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
+  const std::string& aHost,
+  TimePoint aNow)
+{
+  std::vector<quarantine::SuspectRequest> requests;
+  for (const wire::SuspectRequest& request : aRequests) {
+    requests.push_back(FromWire(request, aNow));
+  }
+  hasNews_ = slots_->HandleSuspectRequests(requests, aHost) || hasNews_;
+}
+
+/// Exchanges the suspect requests with the sender of a view that knows others: a host that has
+/// started or was cut off has missed the views with the news, and so have the others its own.
+void FleetControl::CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow)
+{
+  const bool isFirstView = !std::exchange(hasComparedSuspects_, true);
+  if (aView.suspects_digest() == slots_->Quarantine().Digest()) {
+    suspectsRequestInterval_ = kMinSuspectsRequestInterval;
+    nextSuspectsRequest_ = aNow + kMinSuspectsRequestInterval;
+    awaitsSuspects_ = false;
+    return;
+  }
+  if (!isFirstView && aNow < nextSuspectsRequest_) {
+    return;
+  }
+  awaitsSuspects_ = isFirstView;
+  nextSuspectsRequest_ = aNow + suspectsRequestInterval_ + Jitter(suspectsRequestInterval_);
+  suspectsRequestInterval_ = std::min(suspectsRequestInterval_ * 2, kMaxSuspectsRequestInterval);
+  wire::Envelope envelope;
+  wire::Hello& hello = *envelope.mutable_hello();
+  hello.set_wants_suspects(true);
+  for (const quarantine::SuspectRequest* request :
+       slots_->Quarantine().MostSuspected(kMaxSharedSuspects)) {
+    *hello.add_suspects() = ToWire(*request, aNow);
+  }
+  Send(aHost, std::move(envelope));
+}
+
 void FleetControl::ShareView(const RegistryChange& aChange,
                              bool aWithConfiguration,
                              std::span<const std::string> aJoined)
@@ -295,6 +356,12 @@
     members_->RecordLeaving(aMessage.sender().host(), Now());
     return;
   }
+  if (hello.wants_suspects()) {
+    const std::string& host = aMessage.sender().host();
+    HandleSuspects(hello.suspects(), host, Now());
+    const RegistryChange none;
+    return registry_.HasState() ? SendView({ &host, 1 }, &none, nullptr, {}, true) : void();
+  }
   if (hello.wants_view()) {
     return AnswerHello(aMessage);
   }
@@ -325,7 +392,7 @@
     document_.Id().IsNewerThan(known) ? SmallDocument(known.digest) : nullptr;
   if (hello.has_registry_digest() && hello.registry_digest() == registry_.Digest()) {
     const RegistryChange none;
-    return SendView({ &host, 1 }, &none, configuration);
+    return SendView({ &host, 1 }, &none, configuration, {}, true);
   }
   if (now - fullViewsSince_ >= std::chrono::seconds(1)) {
     fullViewsSince_ = now;
@@ -333,7 +400,7 @@
   }
   if (fullViews_ < kMaxFullViewsPerSecond) {
     ++fullViews_;
-    SendView({ &host, 1 }, nullptr, configuration);
+    SendView({ &host, 1 }, nullptr, configuration, {}, true);
   }
 }
 
@@ -413,6 +480,10 @@
     leaving.push_back(FromWire(upstream, now));
   }
   const bool hasNewLeaving = slots_->HandleLeaving(leaving);
+  const bool hadNews = std::exchange(hasNews_, false);
+  HandleSuspects(view.suspects(), host, now);
+  CheckSuspects(view, host, now);
+  const bool hasNewSuspects = std::exchange(hasNews_, hadNews);
   const ConfigurationId configuration = FromWire(view.configuration_id());
   const bool isActivated = ActivateFromPeer(configuration, view.configuration(), host);
   if (IsWanted(configuration)) {
@@ -433,7 +504,7 @@
     readerOrder_ = isReader_ ? readerOrder_ : view.reader_order();
   }
   const bool isNews = registry_.Position() > previousPosition || !localChange.Empty() ||
-                      isActivated || !joined.empty() || hasNewLeaving ||
+                      isActivated || !joined.empty() || hasNewLeaving || hasNewSuspects ||
                       registry_.FreshAt() > previousFreshAt + kMinFreshnessGain ||
                       configurationFreshAt_ > previousConfigurationFreshAt + kMinFreshnessGain;
   const std::vector<std::string> targets =
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -13,6 +13,13 @@
 /// Smaller views are sent as they are.
 constexpr size_t kMinCompressedViewBytes = 4UL << 10;
 
+/// Converts an age to ms; a period of more than a day is clamped.
+uint32_t ToAgeMs(Duration aAge)
+{
+  return static_cast<uint32_t>(
+    std::clamp<int64_t>(aAge / Milliseconds(1), 0, Milliseconds(std::chrono::hours(24)).count()));
+}
+
 bool DecompressView(wire::Envelope& aMessage)
 {
   const wire::CompressedView& compressed = aMessage.compressed_view();
@@ -120,6 +127,42 @@
            aUpstream.source() };
 }
 
+wire::SuspectRequest ToWire(const quarantine::SuspectRequest& aRequest, TimePoint aNow)
+{
+  wire::SuspectRequest request;
+  request.set_fingerprint(aRequest.fingerprint);
+  for (const quarantine::Crash& crash : aRequest.crashes) {
+    wire::UpstreamCrash& added = *request.add_crashes();
+    added.set_upstream(crash.upstream);
+    added.set_started_at_ms(crash.startedAtMs);
+    added.set_age_ms(ToAgeMs(aNow - crash.endedAt));
+    added.set_run_ms(ToWireMs(crash.endedAt - crash.sentAt));
+    added.set_source(crash.source);
+  }
+  if (aRequest.survivedAt) {
+    request.set_survived_age_ms(ToAgeMs(aNow - *aRequest.survivedAt));
+  }
+  return request;
+}
+
+quarantine::SuspectRequest FromWire(const wire::SuspectRequest& aRequest, TimePoint aNow)
+{
+  quarantine::SuspectRequest request;
+  request.fingerprint = aRequest.fingerprint();
+  for (const wire::UpstreamCrash& crash : aRequest.crashes()) {
+    const TimePoint endedAt = aNow - Milliseconds(crash.age_ms());
+    request.crashes.push_back({ crash.upstream(),
+                                crash.started_at_ms(),
+                                endedAt - Milliseconds(crash.run_ms()),
+                                endedAt,
+                                crash.source() });
+  }
+  if (aRequest.has_survived_age_ms()) {
+    request.survivedAt = aNow - Milliseconds(aRequest.survived_age_ms());
+  }
+  return request;
+}
+
 uint32_t ToWireMs(Duration aPeriod)
 {
   const int64_t ms = std::chrono::duration_cast<Milliseconds>(aPeriod).count();
--- a/packages/fleet/src/messages_p.h
+++ b/packages/fleet/src/messages_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "boragegauge/fleet.h"
+#include "boragegauge/quarantine.h"
 #include "fleet.pb.h"
 #include "members_p.h"
 #include "registry_p.h"
@@ -22,6 +23,10 @@
 wire::LeavingUpstream ToWire(const LeavingUpstream& aUpstream, TimePoint aNow);
 LeavingUpstream FromWire(const wire::LeavingUpstream& aUpstream, TimePoint aNow);
 
+/// Periods are relative to aNow.
+wire::SuspectRequest ToWire(const quarantine::SuspectRequest& aRequest, TimePoint aNow);
+quarantine::SuspectRequest FromWire(const wire::SuspectRequest& aRequest, TimePoint aNow);
+
 /// Upper limit of a period in a message, in ms. Longer periods are clamped.
 constexpr int64_t kMaxPeriodMs = 3'600'000;
 
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -48,6 +48,12 @@
       .Name("boragegauge_fleet_paused_upstreams")
       .Help("Upstreams that have asked this host for a pause that has not ended")
       .Register(registry);
+  prometheus::Gauge& quarantined =
+    prometheus::BuildGauge()
+      .Name("boragegauge_fleet_quarantined_requests")
+      .Help("Requests that are rejected because upstreams have crashed under them")
+      .Register(registry)
+      .Add({});
   prometheus::Family<prometheus::Counter>& storeCalls =
     prometheus::BuildCounter()
       .Name("boragegauge_fleet_store_calls_total")
@@ -117,6 +123,11 @@
   }
 }
 
+void FleetMetrics::SetQuarantinedRequests(size_t aCount)
+{
+  impl_->quarantined.Set(static_cast<double>(aCount));
+}
+
 void FleetMetrics::SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch)
 {
   for (size_t i = 0; i < aCalls.size(); ++i) {
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -105,6 +105,7 @@
   const TimePoint now = Now();
   SlotQuery query;
   query.requestId = caller_.requestId;
+  query.fingerprint = fingerprint_;
   query.service = service_;
   query.idempotent = IsIdempotent();
   query.isRetry = attempts_ > 0;
@@ -153,6 +154,7 @@
                 aResult.retryAfter);
   }
   upstream_ = std::move(aResult.upstream);
+  isSuspectTrial_ = aResult.isSuspectTrial;
   Send();
 }
 
@@ -168,6 +170,7 @@
   namedLimit_.reset();
   isLeaving_ = false;
   pause_.reset();
+  hasSurvived_ = false;
   UpstreamRequest request;
   request.address = upstream_.address;
   request.port = upstream_.port;
@@ -199,7 +202,13 @@
   const Duration latency = Now() - sentAt_;
   if (slotSequence_ != 0) {
     traffic_.Control().Release(std::exchange(slotSequence_, 0),
-                               { aOutcome, latency, namedLimit_, answeredAt_, isLeaving_, pause_ });
+                               { aOutcome,
+                                 latency,
+                                 namedLimit_,
+                                 answeredAt_,
+                                 isLeaving_,
+                                 pause_,
+                                 hasSurvived_ ? fingerprint_ : 0 });
   }
   traffic_.Metrics().RecordAttempt(service_, aOutcome);
   if (aOutcome != Outcome::Good) {
@@ -254,10 +263,47 @@
   if (isTimeout) {
     return Fail(504, "upstream_timeout", aResult.detail, Duration(0));
   }
+  const bool isCutOff =
+    aResult.failure == UpstreamFailure::Reset || aResult.failure == UpstreamFailure::Truncated;
+  if (!isCutOff) {
+    return RetryOrFail(aResult.detail);
+  }
+  if (!IsIdempotent()) { // There is no retry that depends on the result.
+    ReportCrash([] {});
+    return RetryOrFail(aResult.detail);
+  }
+  ReportCrash([self = shared_from_this(), detail = aResult.detail] {
+    if (!self->hasResponded_) {
+      self->RetryOrFail(detail);
+    }
+  });
+}
+
+void FleetSession::RetryOrFail(const std::string& aDetail)
+{
   if (IsIdempotent() && Retry("incomplete")) {
     return;
   }
-  Fail(502, "upstream_failure", aResult.detail, Duration(0));
+  Fail(502, "upstream_failure", aDetail, Duration(0));
+}
+
+void FleetSession::ReportCrash(std::function<void()> aDone)
+{
+  quarantine::Crash crash{ upstream_.id, upstream_.startedAtMs, sentAt_, Now(), "" };
+  traffic_.VerifyCrash(upstream_,
+                       [self = shared_from_this(),
+                        crash = std::move(crash),
+                        isTrial = isSuspectTrial_,
+                        done = std::move(aDone)](bool aHasCrashed) {
+                         // A trial runs by itself, so that nothing else has ended the connection.
+                         if (aHasCrashed || isTrial) {
+                           self->traffic_.Control().ReportCrash(self->fingerprint_,
+                                                                crash,
+                                                                self->caller_.requestId,
+                                                                self->request_.target);
+                         }
+                         done();
+                       });
 }
 
 void FleetSession::OnRefused(Outcome aOutcome)
@@ -288,6 +334,7 @@
   const bool isAuthentic =
     metadata.isSigned && (metadata.requestId.empty() || metadata.requestId == caller_.requestId);
   const bool isError = !isAuthentic || aResult.status >= 500;
+  hasSurvived_ = isAuthentic;
   FinishAttempt(isError ? Outcome::Failed : Outcome::Good,
                 isAuthentic ? "status " + std::to_string(aResult.status)
                             : "response is not from the upstream");
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -51,6 +51,10 @@
   /// Makes the requests of this thread avoid an upstream for a while after a failed connection.
   void RecordUnreachable(const std::string& aUpstream, TimePoint aNow);
   std::vector<std::string> UnreachableUpstreams(TimePoint aNow);
+  /// Finds out whether an upstream that has cut off a response has crashed: it accepts no new
+  /// connection.
+  void VerifyCrash(const RegisteredUpstream& aUpstream,
+                   std::function<void(bool aHasCrashed)> aCallback);
   /// Bounds the log lines about header fields of upstreams that cannot be read.
   bool MayLogInvalidNotice(TimePoint aNow);
   void SessionStarted() { active_.fetch_add(1); }
@@ -108,6 +112,9 @@
   /// Notes that the upstream leaves or asks for a pause, for FinishAttempt().
   void ReadNotices(const ResponseMetadata& aMetadata);
   void OnTransportFailure(const UpstreamResult& aResult);
+  /// Reports the crash of the upstream if it has crashed, then calls a function.
+  void ReportCrash(std::function<void()> aDone);
+  void RetryOrFail(const std::string& aDetail);
   void OnUnreachable(const UpstreamResult& aResult);
   void OnRefused(placement::Outcome aOutcome);
   /// @return False if no further attempt is allowed by the route or the time left.
@@ -125,7 +132,7 @@
   HttpRequest request_;
   std::shared_ptr<HttpReply> reply_;
   CallerMetadata caller_;
-  uint64_t fingerprint_; ///< See RequestFingerprint().
+  uint64_t fingerprint_;                     ///< See RequestFingerprint().
   std::shared_ptr<const RouteTable> routes_; ///< Keeps the route alive.
   const FleetRoute* route_ = nullptr;
   std::string service_;
@@ -139,7 +146,9 @@
   TimePoint answeredAt_{};
   bool isLeaving_ = false;            ///< See SlotReport::isLeaving.
   std::optional<Milliseconds> pause_; ///< See SlotReport::pause.
+  bool hasSurvived_ = false;          ///< See SlotReport::survivor.
   RegisteredUpstream upstream_;
+  bool isSuspectTrial_ = false;             ///< See SlotResult::isSuspectTrial.
   std::vector<std::string> triedUpstreams_; ///< Not selected again.
   uint32_t attempts_ = 0;                   ///< Upstreams that the request was sent to.
   uint32_t unreachableCount_ = 0;           ///< Failed connections to upstreams.
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "request_fingerprint_p.h"
+
 namespace bg::fleet::detail {
 
 namespace {
@@ -26,13 +28,13 @@
 /// The limit of an upstream whose entry has expired is kept for this long.
 constexpr Duration kKnownLimitPeriod = std::chrono::seconds(60);
 
+} // namespace
+
 std::string ShardKey(std::string_view aService, size_t aShard)
 {
   return std::string(aService) + '#' + std::to_string(aShard);
 }
 
-} // namespace
-
 size_t HostsPerShard(size_t aHosts, size_t aShards)
 {
   return aShards <= kShardsPerHost ? aHosts
@@ -340,6 +342,8 @@
   request.deadline = aQuery.deadline;
   request.exclude = aQuery.exclude;
   request.avoid = PausedUpstreams(aQuery.service, init_.now());
+  const auto pending = pendingRequests_.find(aSequence);
+  request.isIsolated = pending != pendingRequests_.end() && pending->second.isSuspectTrial;
   return request;
 }
 
@@ -353,7 +357,9 @@
   pending.query = std::move(aQuery);
   pending.callback = std::move(aCallback);
   pendingRequests_.insert_or_assign(aSequence, std::move(pending));
-  RequestSlot(aSequence);
+  if (CheckQuarantine(aSequence)) {
+    RequestSlot(aSequence);
+  }
 }
 
 void SlotClient::RequestSlot(uint64_t aSequence)
@@ -380,6 +386,9 @@
   pending.allocatorHost = host;
   if (host == Self()) {
     pending.timer.reset();
+    if (pending.isSuspectTrial && !StartTrial(aSequence, now)) {
+      return;
+    }
     RecordServing(pending.shard, shard, now);
     shard.allocator->Request(MakeRequest(aSequence, pending.query), now);
     return;
@@ -397,6 +406,7 @@
   request.set_body_kb(static_cast<uint32_t>(pending.query.bodyBytes / 1024));
   request.set_waited_ms(ToWireMs(now - pending.query.receivedAt));
   request.set_left_ms(ToWireMs(pending.query.deadline - now));
+  request.set_trial_fingerprint(pending.isSuspectTrial ? pending.query.fingerprint : 0);
   for (const std::string& upstream : pending.query.exclude) {
     request.add_exclude(upstream);
   }
@@ -439,6 +449,10 @@
 {
   PendingRequest& pending = pendingRequests_.at(aSequence);
   const TimePoint now = init_.now();
+  if (pending.isSuspectTrial) {
+    // Without the allocator nobody knows whether another host sends the request as well.
+    return OnRefused(aSequence, "request_on_trial", kTrialRetryAfter);
+  }
   if (pending.query.isRetry &&
       !LocalRetryBudget(pending.query.service).TryTake(init_.members->Count(), now)) {
     return OnRefused(aSequence, "retry_budget", Duration(0));
@@ -461,13 +475,19 @@
   if (!mayAskAgain) {
     pending.query.exclude.push_back(aUpstream);
   }
+  AfterGrant(aSequence, [this, aSequence, mayAskAgain] { PlaceElsewhere(aSequence, mayAskAgain); });
+}
+
+void SlotClient::AfterGrant(uint64_t aSequence, std::function<void()> aFunction)
+{
+  PendingRequest& pending = pendingRequests_.at(aSequence);
   if (pending.allocatorHost != Self()) {
-    return PlaceElsewhere(aSequence, mayAskAgain);
+    return aFunction();
   }
-  // The allocator of this host grants slots while it goes through its queue.
-  pending.timer = init_.runAfter(Duration(0), [this, aSequence, mayAskAgain] {
+  pending.timer = init_.runAfter(Duration(0), [this, aSequence, aFunction = std::move(aFunction)] {
     if (pendingRequests_.contains(aSequence)) {
-      PlaceElsewhere(aSequence, mayAskAgain);
+      const auto function = aFunction; // The call may destroy the timer and its callback.
+      function();
     }
   });
 }
@@ -499,6 +519,17 @@
   if (notices_.IsPaused(*upstream, now)) {
     return RejectGrant(aSequence, aUpstream, true);
   }
+  const quarantine::Decision decision = quarantine_.Check(pending.query.fingerprint, now).decision;
+  if (decision != quarantine::Decision::Allow && !pending.isSuspectTrial) {
+    // Upstreams have crashed under it while it waited.
+    return AfterGrant(aSequence, [this, aSequence] {
+      CancelAtAllocator(aSequence, pendingRequests_.at(aSequence));
+      pendingRequests_.at(aSequence).allocatorHost.clear();
+      if (CheckQuarantine(aSequence)) {
+        RequestSlot(aSequence);
+      }
+    });
+  }
   HeldSlot slot{ pending.shard,         pending.allocatorHost,    aUpstream,
                  upstream->startedAtMs, pending.query.idempotent, pending.query.deadline };
   if (pending.allocatorHost != Self()) {
@@ -514,6 +545,7 @@
   ++stats_.granted;
   SlotResult result;
   result.isGranted = true;
+  result.isSuspectTrial = pending.isSuspectTrial;
   result.upstream = *upstream;
   const SlotCallback callback = std::move(pending.callback);
   pendingRequests_.erase(found);
@@ -537,6 +569,13 @@
 void SlotClient::Release(uint64_t aSequence, const SlotReport& aReport)
 {
   const TimePoint now = init_.now();
+  trials_.Release({ selfKey_, aSequence }, now);
+  if (aReport.survivor != 0 && quarantine_.RecordSurvival(aReport.survivor, now)) {
+    Log(LogLevel::Info,
+        "request_cleared",
+        { { "fingerprint", FormatFingerprint(aReport.survivor) }, { "peer", Self() } });
+    NotifyNews();
+  }
   if (auto node = pendingRequests_.extract(aSequence)) {
     const PendingRequest& pending = node.mapped();
     if (pending.allocatorHost == Self()) {
@@ -570,9 +609,14 @@
   }
   if (hasNewLeaving) {
     UpdateUpstreams(now);
-    if (init_.onLeaving) {
-      init_.onLeaving();
-    }
+    NotifyNews();
+  }
+}
+
+void SlotClient::NotifyNews()
+{
+  if (init_.onNews) {
+    init_.onNews();
   }
 }
 
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "boragegauge/placement.h"
+#include "boragegauge/quarantine.h"
 #include "messages_p.h"
 #include "upstream_notices_p.h"
 
@@ -17,7 +18,8 @@
 /// A request for a slot of an upstream.
 struct SlotQuery
 {
-  std::string requestId; ///< For logs.
+  std::string requestId;    ///< For logs.
+  uint64_t fingerprint = 0; ///< See RequestFingerprint().
   std::string service;
   bool idempotent = false;
   bool isRetry = false; ///< The request was sent to an upstream before.
@@ -33,6 +35,7 @@
 struct SlotResult
 {
   bool isGranted = false;
+  bool isSuspectTrial = false; ///< The request is suspected to crash upstreams.
   RegisteredUpstream upstream;
   std::string reason; ///< Why the slot was refused.
   Duration retryAfter{ 0 };
@@ -52,8 +55,18 @@
   bool isLeaving = false; ///< The response says that the upstream leaves.
   /// The upstream wants no requests of this host for so long.
   std::optional<Milliseconds> pause;
+  /// Fingerprint of the request if the upstream has answered it, so that it does not crash
+  /// upstreams; 0: there was no response.
+  uint64_t survivor = 0;
 };
 
+/// When to come back to a host that turns a suspect request away because it is on trial. A trial
+/// takes about as long as the request.
+constexpr Duration kTrialRetryAfter = std::chrono::seconds(1);
+
+/// Name of a shard of a service.
+std::string ShardKey(std::string_view aService, size_t aShard);
+
 /// Number of hosts that use one of the shards of a service, on average.
 size_t HostsPerShard(size_t aHosts, size_t aShards);
 
@@ -65,8 +78,9 @@
   /// Runs a callback once after a delay; a destroyed handle cancels it.
   std::function<std::shared_ptr<void>(Duration, std::function<void()>)> runAfter = nullptr;
   std::function<TimePoint()> now = nullptr;
-  /// A response to this host has said for the first time that an upstream leaves.
-  std::function<void()> onLeaving = nullptr;
+  /// This host has learned something that all hosts have to know: that an upstream leaves, or of a
+  /// request that crashes upstreams.
+  std::function<void()> onNews = nullptr;
   placement::RetryWindow::Init retries{};             ///< Budget per service, over all hosts.
   Duration responseTimeout = Milliseconds(60);        ///< Until the next allocator is asked.
   Duration queueCheckInterval = Milliseconds(200);    ///< Between repeats of a queued request.
@@ -119,6 +133,16 @@
   std::map<std::string, size_t> LeavingUpstreams() const;
   /// Number of upstreams that want no requests of this host now, by service.
   std::map<std::string, size_t> PausedUpstreams() const;
+  /// Records that an upstream has crashed under a request of this host.
+  /// @param aRequestId For logs. @param aTarget Target of the request, for logs.
+  void ReportCrash(uint64_t aFingerprint,
+                   quarantine::Crash aCrash,
+                   std::string_view aRequestId,
+                   std::string_view aTarget);
+  /// Adds what a peer knows of requests that crash upstreams. @return True if any was not known.
+  bool HandleSuspectRequests(std::span<const quarantine::SuspectRequest> aRequests,
+                             std::string_view aPeer);
+  const quarantine::RequestQuarantine& Quarantine() const { return quarantine_; }
   /// Number of upstreams with a limit in force, by service, as far as this host knows them.
   std::map<std::string, size_t> LimitedUpstreams() const;
   std::string Describe() const; ///< One "shard=... " line for each shard, for /state.
@@ -144,6 +168,7 @@
     uint32_t timeouts = 0; ///< Allocators that did not respond.
     uint32_t pausedGrants = 0; ///< Grants of paused upstreams, which were turned down.
     bool isQueued = false;
+    bool isSuspectTrial = false; ///< See quarantine::Decision::Trial.
     std::shared_ptr<void> timer;
   };
   /// A limit that an upstream has named. It is kept when the upstream moves to another shard or its
@@ -190,6 +215,21 @@
   void RequestSlot(uint64_t aSequence);
   /// Returns a granted slot that this host must not use, and places the request elsewhere.
   void RejectGrant(uint64_t aSequence, const std::string& aUpstream, bool aIsPaused);
+  /// Calls a function that ends the wait of a request for the grant in progress, at once or, if the
+  /// allocator of this host is going through its queue, right after that.
+  void AfterGrant(uint64_t aSequence, std::function<void()> aFunction);
+  /// Decides whether a request may be sent, by what is known of its earlier attempts. @return False
+  /// if it was refused.
+  bool CheckQuarantine(uint64_t aSequence);
+  /// Allocator of the requests with a fingerprint: one for all hosts.
+  std::string TrialShard(const std::string& aService, uint64_t aFingerprint) const;
+  /// Refuses a request that is on trial elsewhere. @return False if it was refused.
+  bool StartTrial(uint64_t aSequence, TimePoint aNow);
+  void NotifyNews();
+  void LogCrash(uint64_t aFingerprint,
+                const quarantine::Crash& aCrash,
+                std::string_view aRequestId,
+                std::string_view aTarget) const;
   void PlaceElsewhere(uint64_t aSequence, bool aAskAgain);
   void OnResponseTimer(uint64_t aSequence);
   void PlaceLocally(uint64_t aSequence);
@@ -251,6 +291,8 @@
   std::map<std::string, TimePoint, std::less<>> sharedSuspects_; ///< Expiry by upstream.
   std::map<std::string, KnownLimit, std::less<>> limits_;        ///< By upstream.
   UpstreamNotices notices_;
+  quarantine::RequestQuarantine quarantine_;
+  quarantine::TrialLocks trials_; ///< Of the shards that this host allocates.
   TimePoint nextSuspectsShare_{};
   uint64_t roundRobin_ = 0; ///< Position for SelectShard().
   SlotClientStats stats_;
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "request_fingerprint_p.h"
 #include "slot_client_p.h"
 
 namespace bg::fleet::detail {
@@ -78,6 +79,7 @@
     return;
   }
   nextSuspectsShare_ = aNow + init_.suspectsShareInterval;
+  quarantine_.Expire(aNow);
   notices_.Expire([this](std::string_view aId) { return init_.registry->Find(aId); }, aNow);
   const std::vector<std::string> successors = Allocators(aNow);
   for (auto& [key, shard] : shards_) {
@@ -284,9 +286,16 @@
   request.deadline = now + Milliseconds(message.left_ms());
   request.exclude.assign(message.exclude().begin(), message.exclude().end());
   request.avoid.assign(message.avoid().begin(), message.avoid().end());
+  request.isIsolated = message.trial_fingerprint() != 0;
   Shard& shard = GetShard(message.shard());
   init_.members->RecordClient(aMessage.sender().host(), now);
   RecordServing(message.shard(), shard, now);
+  if (request.isIsolated && !trials_.TryAcquire(message.trial_fingerprint(),
+                                                { request.lease.host, request.lease.sequence },
+                                                request.deadline,
+                                                now)) {
+    return OnAllocatorRefusal({ request.lease, "request_on_trial", kTrialRetryAfter });
+  }
   if (shard.allocator->Request(request, now)) {
     return;
   }
@@ -317,6 +326,7 @@
                                          message.started_at_ms(),
                                          now - Milliseconds(message.answer_age_ms()),
                                          aMessage.sender().host() });
+  trials_.Release({ HostKey(aMessage.sender()), message.sequence() }, now);
   GetShard(message.shard())
     .allocator->Release({ HostKey(aMessage.sender()), message.sequence() },
                         static_cast<Outcome>(message.outcome()),
@@ -366,6 +376,20 @@
                           Self());
     }
   }
+  for (const auto& [fingerprint, request] : quarantine_.Requests()) {
+    const quarantine::Verdict verdict = quarantine_.Check(fingerprint, now);
+    for (const quarantine::Crash& crash : request.crashes) {
+      text += fmt::format("suspect_request={} decision={} retry_ms={} upstream={} started_at_ms={} "
+                          "since_ms={} peer={}\n",
+                          FormatFingerprint(fingerprint),
+                          quarantine::ToString(verdict.decision),
+                          verdict.retryAfter / Milliseconds(1),
+                          crash.upstream,
+                          crash.startedAtMs,
+                          (now - crash.endedAt) / Milliseconds(1),
+                          crash.source);
+    }
+  }
   for (const auto& [key, shard] : shards_) {
     const placement::SlotAllocatorStats stats = shard.allocator->Stats();
     text +=
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -10,6 +10,9 @@
 /// After a start or a pause, a host has the current configuration within some 100 ms, or 600 ms if
 /// it is large and the network link slow. Requests that wait for it can still meet their deadlines.
 constexpr Duration kConfigurationTimeout = std::chrono::seconds(1);
+/// Time for a connection to an upstream that may have crashed. It is tried twice, because a packet
+/// may be lost.
+constexpr Duration kProbeTimeout = Milliseconds(150);
 constexpr Duration kInvalidNoticeLogInterval = std::chrono::seconds(1);
 /// Body size limit until a configuration is active.
 constexpr size_t kMaxBodyBytes = kMaxBodyBytesLimit;
@@ -120,6 +123,21 @@
   unreachableUntil_[aUpstream] = aNow + kUnreachablePeriod;
 }
 
+void FleetTraffic::VerifyCrash(const RegisteredUpstream& aUpstream,
+                               std::function<void(bool aHasCrashed)> aCallback)
+{
+  const auto probe = [this, address = aUpstream.address, port = aUpstream.port](
+                       std::function<void(ProbeResult)> aOnResult) {
+    ProbeConnection(loop_, address, port, kProbeTimeout, std::move(aOnResult));
+  };
+  probe([probe, callback = std::move(aCallback)](ProbeResult aResult) {
+    if (aResult != ProbeResult::Silent) {
+      return callback(aResult == ProbeResult::Refused);
+    }
+    probe([callback](ProbeResult aSecond) { callback(aSecond != ProbeResult::Accepted); });
+  });
+}
+
 bool FleetTraffic::MayLogInvalidNotice(TimePoint aNow)
 {
   if (aNow < nextInvalidNoticeLog_) {
--- a/packages/fleet/tests/control_host.h
+++ b/packages/fleet/tests/control_host.h
@@ -90,6 +90,39 @@
     return promise.get_future().get();
   }
 
+  /// Asks for a slot for a request. @return Why it got none; empty: it got one.
+  std::string RefusalReason(uint64_t aFingerprint)
+  {
+    std::promise<std::string> promise;
+    loop->Post([&] {
+      SlotQuery query;
+      query.fingerprint = aFingerprint;
+      query.service = "desk";
+      query.idempotent = true;
+      query.receivedAt = Now();
+      query.deadline = Now() + std::chrono::seconds(2);
+      const uint64_t sequence = ++sequence_;
+      control_->Acquire(sequence, query, [this, &promise, sequence](const SlotResult& aSlot) {
+        control_->Release(sequence, {});
+        promise.set_value(aSlot.reason);
+      });
+    });
+    return promise.get_future().get();
+  }
+
+  /// Upstreams crash one after the other under a request.
+  void ReportCrashes(uint64_t aFingerprint, int aCount)
+  {
+    const TimePoint start = Now() - Milliseconds(10 * aCount);
+    for (int i = 0; i < aCount; ++i) {
+      const TimePoint sentAt = start + Milliseconds(10 * i);
+      control_->ReportCrash(aFingerprint,
+                            { "gone" + std::to_string(i), 1, sentAt, sentAt + Milliseconds(8), "" },
+                            "r",
+                            "/x");
+    }
+  }
+
   FakeFaults faults;
   FleetShared shared;
   EventLoop* loop = nullptr;
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -67,6 +67,7 @@
   TimePoint deadline{};             ///< A later response is useless to the caller.
   std::vector<std::string> exclude; ///< Ids of upstreams already tried or unreachable.
   std::vector<std::string> avoid;   ///< Ids of upstreams that want no requests of the host now.
+  bool isIsolated = false;          ///< Runs only by itself at an upstream.
 };
 
 struct Grant
@@ -350,7 +351,8 @@
     uint32_t limitedSends = 0; ///< See LimitedUpstream::sends.
     uint32_t inFlight = 0;
     uint32_t trialsInFlight = 0;
-    bool isOverdue = false; ///< It has not answered a request for much longer than usual.
+    bool isReserved = false; ///< It runs an isolated request and gets no other one.
+    bool isOverdue = false;  ///< It has not answered a request for much longer than usual.
     TimePoint lastGrantAt{};
     double latencyRatio = 1; ///< Moving average of latency relative to that of the service.
   };
@@ -361,6 +363,7 @@
     TimePoint expiresAt;
     bool isTrial = false;
     bool isFinalAttempt = false; ///< A failure is returned to the caller, not retried.
+    bool isIsolated = false;     ///< See SlotRequest::isIsolated.
   };
   /// Properties of a request and of the shard that hold for all upstreams of one selection.
   struct SelectionContext
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -295,7 +295,8 @@
                          aNow,
                          aRequest.deadline + kLeaseGracePeriod,
                          false,
-                         IsFinalAttempt(aRequest) });
+                         IsFinalAttempt(aRequest),
+                         aRequest.isIsolated });
 }
 
 void SlotAllocator::GrantSlot(const SlotRequest& aRequest,
@@ -304,6 +305,7 @@
 {
   Upstream& upstream = *aSelection.upstream;
   ++upstream.inFlight;
+  upstream.isReserved = aRequest.isIsolated;
   upstream.lastGrantAt = aNow;
   upstream.limit.RecordSends(1, aNow);
   upstream.limitedSends += upstream.limit.IsInForce() ? 1 : 0;
@@ -315,7 +317,8 @@
                          aNow,
                          aRequest.deadline + kLeaseGracePeriod,
                          aSelection.isTrial,
-                         IsFinalAttempt(aRequest) });
+                         IsFinalAttempt(aRequest),
+                         aRequest.isIsolated });
   init_.onGrant({ aRequest.lease, upstream.info.id });
 }
 
@@ -479,8 +482,8 @@
   Selection best;
   std::pair<int, double> bestCost{ INT32_MAX, 0 };
   for (auto& [id, upstream] : upstreams_) {
-    const bool isFull =
-      upstream.inFlight >= upstream.info.slots || upstream.health.PausedUntil() > aNow;
+    const bool isFull = upstream.inFlight >= (aRequest.isIsolated ? 1 : upstream.info.slots) ||
+                        upstream.isReserved || upstream.health.PausedUntil() > aNow;
     if (IsExcluded(aRequest, id) || (aRequireFreeSlot && isFull) ||
         IsOverLimit(upstream, aContext, aNow)) {
       continue;
@@ -590,6 +593,7 @@
   if (upstream != upstreams_.end()) {
     upstream->second.inFlight -= upstream->second.inFlight > 0 ? 1 : 0;
     upstream->second.trialsInFlight -= lease.isTrial && upstream->second.trialsInFlight > 0 ? 1 : 0;
+    upstream->second.isReserved = upstream->second.isReserved && !lease.isIsolated;
     RecordOutcome(upstream->second, aOutcome, aLatency, lease, aNow);
   }
   GrantQueued(aNow);
--- a/packages/upstream/include/boragegauge/upstream.h
+++ b/packages/upstream/include/boragegauge/upstream.h
@@ -106,6 +106,24 @@
 
 std::unique_ptr<UpstreamClient> CreateCurlUpstreamClient(const UpstreamClientInit& aInit);
 
+enum class ProbeResult
+{
+  Accepted,
+  Refused, ///< Nothing listens at the address.
+  Silent,  ///< No answer in time.
+
+  Count
+};
+
+/// Opens a connection to an upstream and closes it without a request, to find out whether the
+/// upstream still runs. Loop thread only. The callback is never called from inside.
+/// @param aAddress IP address.
+void ProbeConnection(EventLoop& aLoop,
+                     const std::string& aAddress,
+                     uint16_t aPort,
+                     Duration aTimeout,
+                     std::function<void(ProbeResult)> aCallback);
+
 /// Looks up a header field by its case-insensitive name; returns null if there is none.
 const std::string* FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
 
