--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -238,8 +238,8 @@
   const bool hasPeerState =
     receivedViewAt_ > startedAt_ && !IsWanted(newestKnown_) && !awaitsSuspects_;
   const bool mayHavePeers = members_->Count() > 1 || !hasReadMembers_;
-  return resumedAt_ == startedAt_ && !init_.isFirstStart && mayHavePeers &&
-         !hasPeerState && aNow - startedAt_ < kPeerStateTimeout;
+  return resumedAt_ == startedAt_ && !init_.isFirstStart && mayHavePeers && !hasPeerState &&
+         aNow - startedAt_ < kPeerStateTimeout;
 }
 
 bool FleetControl::IsReady() const
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -48,6 +48,11 @@
       .Name("boragegauge_fleet_paused_upstreams")
       .Help("Upstreams that have asked this host for a pause that has not ended")
       .Register(registry);
+  prometheus::Gauge& lostLinks = prometheus::BuildGauge()
+                                   .Name("boragegauge_fleet_upstream_links_lost")
+                                   .Help("1 while this host reaches no upstream")
+                                   .Register(registry)
+                                   .Add({});
   prometheus::Gauge& quarantined =
     prometheus::BuildGauge()
       .Name("boragegauge_fleet_quarantined_requests")
@@ -123,6 +128,11 @@
   }
 }
 
+void FleetMetrics::SetHasLostLinks(bool aHasLostLinks)
+{
+  impl_->lostLinks.Set(aHasLostLinks ? 1 : 0);
+}
+
 void FleetMetrics::SetQuarantinedRequests(size_t aCount)
 {
   impl_->quarantined.Set(static_cast<double>(aCount));
--- a/packages/fleet/src/metrics_p.h
+++ b/packages/fleet/src/metrics_p.h
@@ -32,6 +32,8 @@
   /// Sets the number of upstreams that have said that they leave, by service.
   void SetLeavingUpstreams(const std::map<std::string, size_t>& aCounts);
   /// Sets the number of upstreams that want no requests of this host now, by service.
+  /// Callable from any thread.
+  void SetHasLostLinks(bool aHasLostLinks);
   void SetQuarantinedRequests(size_t aCount);
   void SetPausedUpstreams(const std::map<std::string, size_t>& aCounts);
   /// Sets the calls to the store so far, and its epoch.
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -234,6 +234,7 @@
   if (aResult.failure == UpstreamFailure::Connect || !aResult.maybeSent) {
     return OnUnreachable(aResult);
   }
+  traffic_.RecordConnected(upstream_.id, Now());
   if (aResult.failure != UpstreamFailure::None) {
     return OnTransportFailure(aResult);
   }
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "boragegauge/http_util.h"
+#include "boragegauge/relay.h"
 #include "control_p.h"
 #include "metrics_p.h"
 
@@ -50,6 +51,8 @@
   void AwaitConfiguration(std::shared_ptr<FleetSession> aSession);
   /// Makes the requests of this thread avoid an upstream for a while after a failed connection.
   void RecordUnreachable(const std::string& aUpstream, TimePoint aNow);
+  /// Records that an upstream was reached over a connection of its own.
+  void RecordConnected(const std::string& aUpstream, TimePoint aNow);
   std::vector<std::string> UnreachableUpstreams(TimePoint aNow);
   /// Finds out whether an upstream that has cut off a response has crashed: it accepts no new
   /// connection.
@@ -79,6 +82,7 @@
   uint64_t random_;
   std::map<std::string, TimePoint> unreachableUntil_; ///< By upstream.
   TimePoint nextInvalidNoticeLog_{};
+  relay::LinkMonitor links_;
 };
 
 /// A request of a caller from its arrival to its response. Pending callbacks share the ownership of
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -121,6 +121,25 @@
 void FleetTraffic::RecordUnreachable(const std::string& aUpstream, TimePoint aNow)
 {
   unreachableUntil_[aUpstream] = aNow + kUnreachablePeriod;
+  if (links_.RecordUnreachable(aUpstream, aNow)) {
+    metrics_.SetHasLostLinks(true);
+    Log(LogLevel::Warning,
+        "upstream_links_lost",
+        { { "upstream", aUpstream },
+          { "unreachable", unreachableUntil_.size() },
+          { "reason", "no connection to several upstreams in a row" } });
+  }
+}
+
+void FleetTraffic::RecordConnected(const std::string& aUpstream, TimePoint aNow)
+{
+  const TimePoint lostAt = links_.Since();
+  if (links_.RecordConnected(aUpstream, aNow)) {
+    metrics_.SetHasLostLinks(false);
+    Log(LogLevel::Warning,
+        "upstream_links_regained",
+        { { "upstream", aUpstream }, { "lost_ms", (aNow - lostAt) / Milliseconds(1) } });
+  }
 }
 
 void FleetTraffic::VerifyCrash(const RegisteredUpstream& aUpstream,
