--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -216,6 +216,9 @@
   size_t maxResponseBytes = 8UL << 20; ///< Of the body of one response.
   /// Creates the adapter, which uses the event loop of the control thread.
   std::function<PlatformAdapter(EventLoop&)> createPlatform = nullptr;
+  /// Creates the client of a traffic thread; null: CreateCurlUpstreamClient().
+  std::function<std::unique_ptr<UpstreamClient>(const UpstreamClientInit&)> createUpstreamClient =
+    nullptr;
 };
 
 /// Serves until SIGTERM or SIGINT. SIGTERM, SIGINT and SIGHUP must be blocked in the process.
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -39,7 +39,9 @@
 std::optional<Error> FleetTraffic::Start()
 {
   const auto budget = std::make_shared<ByteBudget>(init_.bodyBudgetBytes);
-  client_ = CreateCurlUpstreamClient({ .loop = &loop_, .budget = budget });
+  const UpstreamClientInit client{ .loop = &loop_, .budget = budget };
+  client_ = init_.createUpstreamClient ? init_.createUpstreamClient(client)
+                                       : CreateCurlUpstreamClient(client);
   HttpServerInit init;
   init.loop = &loop_;
   init.address = init_.address;
@@ -147,7 +149,7 @@
 {
   const auto probe = [this, address = aUpstream.address, port = aUpstream.port](
                        std::function<void(ProbeResult)> aOnResult) {
-    ProbeConnection(loop_, address, port, kProbeTimeout, std::move(aOnResult));
+    client_->Probe(address, port, kProbeTimeout, std::move(aOnResult));
   };
   probe([probe, callback = std::move(aCallback)](ProbeResult aResult) {
     if (aResult != ProbeResult::Silent) {
--- /dev/null
+++ b/packages/fleet/tests/lost_links_test.cpp
@@ -0,0 +1,99 @@
+#include <doctest/doctest.h>
+
+#include "serving_host.h"
+
+using namespace bg;
+using namespace bg::fleet;
+using namespace bg::fleet::test;
+using bg::test::Eventually;
+
+namespace {
+
+/// Hosts of which some can lose their links to the upstreams.
+class CutFleet
+{
+public:
+  static constexpr int kRequests = 40;
+
+  explicit CutFleet(int aHosts)
+    : upstreams(tables_, 6)
+  {
+    tables_.Put(kConfigurationTable, "current", "1");
+    const uint16_t peerPort = FreePort();
+    for (int i = 0; i < aHosts; ++i) {
+      hosts.push_back(std::make_unique<ServingHost>(
+        tables_, "host" + std::to_string(i), kFirstAddress + i, peerPort));
+    }
+    for (const auto& host : hosts) {
+      REQUIRE(Eventually([&] { return host->IsServing(); }));
+    }
+  }
+
+  void Cut(int aHosts, LinkState aState)
+  {
+    for (int i = 0; i < aHosts; ++i) {
+      hosts[static_cast<size_t>(i)]->links = aState;
+    }
+  }
+
+  /// Sends idempotent and other requests in turn. @return Number that were served at the first try.
+  int Serve(int aHost, int aRequests = kRequests)
+  {
+    int served = 0;
+    for (int i = 0; i < aRequests; ++i) {
+      const std::string id = "r" + std::to_string(++requests_);
+      const std::string method = i % 2 == 0 ? "GET" : "POST";
+      const UpstreamResult result = hosts[static_cast<size_t>(aHost)]->Call(method, id);
+      const int executions = upstreams.Executions(id);
+      if (result.status == 200) {
+        ++served;
+        CHECK(*FindHeader(result.headers, "Signature") == "sig-" + id);
+        CHECK(result.body ==
+              method + " /" + method + "/" + id + (method == "GET" ? " 0" : " 2000"));
+        CHECK(executions >= 1);
+      }
+      if (result.status == 503) {
+        CHECK(executions == 0);
+      }
+      if (method == "POST") {
+        CHECK(executions <= 1);
+      }
+    }
+    return served;
+  }
+
+private:
+  static constexpr int kFirstAddress = 20;
+
+  FakeTables tables_;
+  int requests_ = 0;
+
+public:
+  TestUpstreams upstreams;
+  std::vector<std::unique_ptr<ServingHost>> hosts;
+};
+
+} // namespace
+
+TEST_CASE("callers of a host that reaches no upstream are served")
+{
+  CutFleet fleet(3);
+  REQUIRE(fleet.Serve(0) == CutFleet::kRequests);
+
+  SUBCASE("if its connections are refused")
+  {
+    fleet.Cut(1, LinkState::Refusing);
+  }
+  SUBCASE("if its connections hang")
+  {
+    fleet.Cut(1, LinkState::Hanging);
+  }
+  SUBCASE("if most other hosts reach none either")
+  {
+    fleet.Cut(2, LinkState::Refusing);
+  }
+
+  // The rule of the users asks for two thirds of what the other hosts serve.
+  CHECK(fleet.Serve(0) >= CutFleet::kRequests * 2 / 3);
+  CHECK(fleet.Serve(2) == CutFleet::kRequests);
+}
--- /dev/null
+++ b/packages/fleet/tests/serving_host.h
@@ -0,0 +1,290 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include <unistd.h>
+
+#include "boragegauge/httpd.h"
+#include "control_host.h"
+#include "raw_tcp.h"
+#include "session_p.h"
+
+namespace bg::fleet::test {
+
+/// What happens to connections of a host to upstreams.
+enum class LinkState
+{
+  Well,
+  Refusing, ///< They are refused at once.
+  Hanging,  ///< They are not answered.
+
+  Count
+};
+
+/// Upstreams are at addresses that begin with this; hosts are not.
+constexpr std::string_view kUpstreamNetwork = "127.0.1.";
+
+/// A client whose connections to upstreams can fail, while those to other hosts do not.
+class CutClient : public UpstreamClient
+{
+public:
+  CutClient(const UpstreamClientInit& aInit, const std::atomic<LinkState>& aLinks)
+    : loop_(*aInit.loop)
+    , client_(CreateCurlUpstreamClient(aInit))
+    , links_(aLinks)
+  {
+  }
+
+  uint64_t Send(UpstreamRequest aRequest, Callback aCallback) override
+  {
+    if (!IsCut(aRequest.address)) {
+      return client_->Send(std::move(aRequest), std::move(aCallback));
+    }
+    const uint64_t id = kCutTransfers + ++count_;
+    timers_[id] = loop_.RunAfter(Delay(aRequest.connectTimeout), [this, id, aCallback] {
+      const auto timer = timers_.extract(id);
+      UpstreamResult result;
+      result.failure = UpstreamFailure::Connect;
+      result.detail = "the path is cut";
+      aCallback(std::move(result));
+    });
+    return id;
+  }
+
+  void Cancel(uint64_t aTransferId) override
+  {
+    if (timers_.erase(aTransferId) == 0) {
+      client_->Cancel(aTransferId);
+    }
+  }
+
+  void Probe(const std::string& aAddress,
+             uint16_t aPort,
+             Duration aTimeout,
+             std::function<void(ProbeResult)> aCallback) override
+  {
+    if (!IsCut(aAddress)) {
+      return client_->Probe(aAddress, aPort, aTimeout, std::move(aCallback));
+    }
+    const uint64_t id = kCutTransfers + ++count_;
+    const bool isRefused = links_ == LinkState::Refusing;
+    timers_[id] = loop_.RunAfter(Delay(aTimeout), [this, id, isRefused, aCallback] {
+      const auto timer = timers_.extract(id);
+      aCallback(isRefused ? ProbeResult::Refused : ProbeResult::Silent);
+    });
+  }
+
+  UpstreamClientStats Stats() const override { return client_->Stats(); }
+
+private:
+  static constexpr uint64_t kCutTransfers = 1ULL << 48;
+
+  bool IsCut(const std::string& aAddress) const
+  {
+    return links_ != LinkState::Well && aAddress.starts_with(kUpstreamNetwork);
+  }
+  Duration Delay(Duration aTimeout) const
+  {
+    return links_ == LinkState::Refusing ? Milliseconds(1) : aTimeout;
+  }
+
+  EventLoop& loop_;
+  std::unique_ptr<UpstreamClient> client_;
+  const std::atomic<LinkState>& links_;
+  std::map<uint64_t, std::unique_ptr<EventLoop::Timer>> timers_;
+  uint64_t count_ = 0;
+};
+
+/// Upstreams of one service; they count the executions of each request.
+class TestUpstreams
+{
+public:
+  explicit TestUpstreams(FakeTables& aTables, int aCount)
+  {
+    loop_.Call([&] {
+      for (int i = 0; i < aCount; ++i) {
+        HttpServerInit init;
+        init.loop = &loop_.Loop();
+        init.address = std::string(kUpstreamNetwork) + std::to_string(i + 1);
+        init.handler = [this](const HttpRequest& aRequest,
+                              const std::shared_ptr<HttpReply>& aReply) {
+          Handle(aRequest, aReply);
+        };
+        servers_.push_back(std::move(*CreateHttpServer(std::move(init))));
+        aTables.Put(kUpstreamTable,
+                    "u" + std::to_string(i + 1),
+                    std::string(kUpstreamNetwork) + std::to_string(i + 1) + " " +
+                      std::to_string(servers_.back()->Port()));
+      }
+    });
+  }
+
+  ~TestUpstreams()
+  {
+    loop_.Call([this] { servers_.clear(); });
+  }
+
+  int Executions(const std::string& aRequestId)
+  {
+    const std::lock_guard lock(mutex_);
+    return executions_[aRequestId];
+  }
+
+private:
+  void Handle(const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply)
+  {
+    const std::string* id = FindHeader(aRequest.headers, "Request-Id");
+    const std::string* deadline = FindHeader(aRequest.headers, "Time-Left-Ms");
+    if (id == nullptr || deadline == nullptr) {
+      return aReply->Send({ .status = 400 });
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      ++executions_[*id];
+    }
+    aReply->Send({ .status = 200,
+                   .headers = { { "Signature", "sig-" + *id }, { "Request-Id", *id } },
+                   .body = aRequest.method + " " + aRequest.target + " " +
+                           std::to_string(aRequest.body ? aRequest.body->size() : 0) });
+  }
+
+  bg::test::LoopThread loop_;
+  std::vector<std::unique_ptr<HttpServer>> servers_;
+  std::mutex mutex_;
+  std::map<std::string, int> executions_;
+};
+
+/// A whole host: control thread and traffic thread.
+class ServingHost
+{
+public:
+  ServingHost(FakeTables& aTables, const std::string& aName, int aNumber, uint16_t aPeerPort)
+  {
+    init_.host = aName;
+    init_.failureDomain = "a";
+    init_.address = "127.0.0." + std::to_string(aNumber);
+    init_.readinessAddress = init_.address;
+    init_.peerPort = aPeerPort;
+    init_.callerPort = FreePort();
+    init_.createPlatform = [&aTables, this](EventLoop& aLoop) {
+      return MakeAdapter(aLoop, aTables);
+    };
+    init_.createUpstreamClient = [this](const UpstreamClientInit& aInit) {
+      return std::make_unique<CutClient>(aInit, links);
+    };
+    control_ = std::make_unique<FleetControl>(init_, shared_);
+    REQUIRE_FALSE(control_->Bind());
+    traffic_ = std::make_unique<FleetTraffic>(init_, shared_, *control_, metrics_);
+    REQUIRE_FALSE(traffic_->Start());
+    control_->Start();
+  }
+
+  ~ServingHost()
+  {
+    traffic_->Stop();
+    control_->Stop();
+  }
+
+  /// Sends a request as a caller and waits for the response.
+  UpstreamResult Call(const std::string& aMethod, const std::string& aId)
+  {
+    UpstreamRequest request;
+    request.address = init_.address;
+    request.port = init_.callerPort;
+    request.method = aMethod;
+    request.target = "/" + aMethod + "/" + aId;
+    request.headers = { { "Host", "desk.example" }, { "Request-Id", aId } };
+    if (aMethod == "POST") {
+      request.body = std::make_shared<const std::string>(2000, 'x');
+    }
+    std::promise<UpstreamResult> result;
+    caller_.Call([&] {
+      client_ =
+        client_ ? std::move(client_) : CreateCurlUpstreamClient({ .loop = &caller_.Loop() });
+      client_->Send(std::move(request),
+                    [&](UpstreamResult aResult) { result.set_value(std::move(aResult)); });
+    });
+    return result.get_future().get();
+  }
+
+  bool IsServing() { return Call("GET", "ready-" + std::to_string(++readyCalls_)).status == 200; }
+  std::string Metrics() const { return metrics_.Expose(); }
+
+  std::atomic<LinkState> links{ LinkState::Well };
+
+private:
+  static std::string FindValue(std::span<const HttpHeader> aHeaders, std::string_view aName)
+  {
+    const std::vector<HttpHeader> headers(aHeaders.begin(), aHeaders.end());
+    const std::string* value = FindHeader(headers, aName);
+    return value == nullptr ? "" : *value;
+  }
+
+  PlatformAdapter MakeAdapter(EventLoop& aLoop, FakeTables& aTables)
+  {
+    PlatformAdapter adapter;
+    adapter.store = std::make_unique<FakeRowStore>(aLoop, aTables, faults_);
+    adapter.configurationTable = kConfigurationTable;
+    adapter.configurationKey = "current";
+    adapter.upstreamTable = kUpstreamTable;
+    adapter.parseConfiguration = [](std::string_view) -> Result<FleetConfiguration> {
+      FleetConfiguration configuration;
+      configuration.revision = 1;
+      configuration.services = { "desk" };
+      for (const char* method : { "GET", "POST" }) {
+        FleetRoute route;
+        route.id = method;
+        route.host = "desk.example";
+        route.pathPrefix = std::string("/") + method + "/";
+        route.services = { { "desk", 1 } };
+        route.idempotent = std::string_view(method) == "GET";
+        route.timeout = Milliseconds(2000);
+        route.maxAttempts = 2;
+        configuration.routes.push_back(route);
+      }
+      return configuration;
+    };
+    adapter.parseUpstream = [](std::string_view aId,
+                               std::string_view aEntry) -> Result<RegisteredUpstream> {
+      RegisteredUpstream upstream;
+      upstream.id = aId;
+      upstream.service = "desk";
+      upstream.address = aEntry.substr(0, aEntry.find(' '));
+      upstream.port =
+        static_cast<uint16_t>(std::stoi(std::string(aEntry.substr(aEntry.find(' ') + 1))));
+      upstream.slots = 4;
+      upstream.startedAtMs = 1;
+      return upstream;
+    };
+    adapter.dialect.readCaller = [](std::span<const HttpHeader> aHeaders) {
+      return CallerMetadata{ .requestId = FindValue(aHeaders, "Request-Id") };
+    };
+    adapter.dialect.writeUpstream =
+      [](std::vector<HttpHeader>& aHeaders, Milliseconds aTimeLeft, std::string_view) {
+        aHeaders.push_back({ "Time-Left-Ms", std::to_string(aTimeLeft.count()) });
+      };
+    adapter.dialect.readResponse = [](int, std::span<const HttpHeader> aHeaders) {
+      ResponseMetadata metadata;
+      metadata.requestId = FindValue(aHeaders, "Request-Id");
+      metadata.isSigned = !FindValue(aHeaders, "Signature").empty();
+      return metadata;
+    };
+    return adapter;
+  }
+
+  FakeFaults faults_;
+  FleetInit init_;
+  FleetShared shared_;
+  FleetMetrics metrics_;
+  std::unique_ptr<FleetControl> control_;
+  std::unique_ptr<FleetTraffic> traffic_;
+  bg::test::LoopThread caller_;
+  std::unique_ptr<UpstreamClient> client_;
+  int readyCalls_ = 0;
+};
+
+} // namespace bg::fleet::test
--- a/packages/upstream/include/boragegauge/upstream.h
+++ b/packages/upstream/include/boragegauge/upstream.h
@@ -68,6 +68,15 @@
   Duration totalTime{ 0 };
 };
 
+enum class ProbeResult
+{
+  Accepted,
+  Refused, ///< Nothing listens at the address.
+  Silent,  ///< No answer in time.
+
+  Count
+};
+
 struct UpstreamClientStats
 {
   uint64_t transfers = 0;
@@ -91,6 +100,14 @@
   /// Closes the transfer's connection; its callback gets Cancelled. Ignores unknown ids.
   virtual void Cancel(uint64_t aTransferId) = 0;
 
+  /// Opens a connection to an upstream and closes it without a request, to find out whether the
+  /// upstream still runs. The callback is never called from inside Probe().
+  /// @param aAddress IP address.
+  virtual void Probe(const std::string& aAddress,
+                     uint16_t aPort,
+                     Duration aTimeout,
+                     std::function<void(ProbeResult)> aCallback) = 0;
+
   virtual UpstreamClientStats Stats() const = 0;
 };
 
@@ -106,24 +123,6 @@
 
 std::unique_ptr<UpstreamClient> CreateCurlUpstreamClient(const UpstreamClientInit& aInit);
 
-enum class ProbeResult
-{
-  Accepted,
-  Refused, ///< Nothing listens at the address.
-  Silent,  ///< No answer in time.
-
-  Count
-};
-
-/// Opens a connection to an upstream and closes it without a request, to find out whether the
-/// upstream still runs. Loop thread only. The callback is never called from inside.
-/// @param aAddress IP address.
-void ProbeConnection(EventLoop& aLoop,
-                     const std::string& aAddress,
-                     uint16_t aPort,
-                     Duration aTimeout,
-                     std::function<void(ProbeResult)> aCallback);
-
 /// Looks up a header field by its case-insensitive name; returns null if there is none.
 const std::string* FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
 
--- a/packages/upstream/src/connection_probe.cpp
+++ b/packages/upstream/src/connection_probe.cpp
@@ -5,9 +5,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 
-#include "boragegauge/upstream.h"
+#include "upstream_p.h"
 
-namespace bg {
+namespace bg::detail {
 
 namespace {
 
@@ -67,4 +67,4 @@
   std::make_shared<ProbeSession>(aLoop, std::move(aCallback))->Start({ address, aPort }, aTimeout);
 }
 
-} // namespace bg
+} // namespace bg::detail
--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -537,8 +537,9 @@
 class ClientOwner : public UpstreamClient
 {
 public:
-  explicit ClientOwner(std::shared_ptr<CurlClient> aClient)
-    : client_(std::move(aClient))
+  ClientOwner(EventLoop& aLoop, std::shared_ptr<CurlClient> aClient)
+    : loop_(aLoop)
+    , client_(std::move(aClient))
   {
   }
   ~ClientOwner() override { client_->Stop(); }
@@ -550,9 +551,17 @@
     return client_->Send(std::move(aRequest), std::move(aCallback));
   }
   void Cancel(uint64_t aTransferId) override { client_->Cancel(aTransferId); }
+  void Probe(const std::string& aAddress,
+             uint16_t aPort,
+             Duration aTimeout,
+             std::function<void(ProbeResult)> aCallback) override
+  {
+    detail::ProbeConnection(loop_, aAddress, aPort, aTimeout, std::move(aCallback));
+  }
   UpstreamClientStats Stats() const override { return client_->Stats(); }
 
 private:
+  EventLoop& loop_;
   std::shared_ptr<CurlClient> client_;
 };
 
@@ -564,7 +573,7 @@
   if (kGlobalInit != CURLE_OK) {
     Log(LogLevel::Error, "curl_init_failed", { { "code", static_cast<int>(kGlobalInit) } });
   }
-  return std::make_unique<ClientOwner>(std::make_shared<CurlClient>(aInit));
+  return std::make_unique<ClientOwner>(*aInit.loop, std::make_shared<CurlClient>(aInit));
 }
 
 } // namespace bg
--- a/packages/upstream/src/upstream_p.h
+++ b/packages/upstream/src/upstream_p.h
@@ -123,6 +123,13 @@
                                          const sockaddr* aPeer,
                                          std::function<void(int, int)> aReady);
 
+/// See UpstreamClient::Probe().
+void ProbeConnection(EventLoop& aLoop,
+                     const std::string& aAddress,
+                     uint16_t aPort,
+                     Duration aTimeout,
+                     std::function<void(ProbeResult)> aCallback);
+
 /// Largest number of bytes of a response with all its framing: header sections, chunk sizes and
 /// extensions, trailers.
 size_t MaxReceivedBytes(size_t aMaxBodyBytes);
--- a/packages/upstream/tests/connection_probe_test.cpp
+++ b/packages/upstream/tests/connection_probe_test.cpp
@@ -13,9 +13,10 @@
 ProbeResult Probe(const std::string& aAddress, uint16_t aPort, Duration aTimeout)
 {
   EventLoop loop;
+  const auto client = CreateCurlUpstreamClient({ .loop = &loop });
   std::promise<ProbeResult> result;
   loop.Post([&] {
-    ProbeConnection(loop, aAddress, aPort, aTimeout, [&](ProbeResult aResult) {
+    client->Probe(aAddress, aPort, aTimeout, [&](ProbeResult aResult) {
       result.set_value(aResult);
       loop.Stop();
     });
