--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -202,6 +202,8 @@
   std::string readinessPath = "/ready";
   uint16_t adminPort = 0;
   uint16_t peerPort = 0;
+  /// Where this host sends requests to upstreams for hosts that do not reach them; 0: it does not.
+  uint16_t relayPort = 0;
   bool isFirstStart = false;      ///< All hosts start together and have no callers yet.
   std::vector<std::string> seeds; ///< Addresses of hosts with the same peer port.
   uint32_t capacity = 100;        ///< CPU capacity, in percent of a core.
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -28,7 +28,8 @@
                    init_.peerPort,
                    init_.failureDomain,
                    static_cast<uint64_t>(WallClockMs()),
-                   init_.capacity };
+                   init_.capacity,
+                   init_.relayPort };
   members_ = std::make_unique<Members>(std::move(members));
   spreader_ = std::make_unique<overlay::Spreader>(
     overlay::SpreaderInit{ .tree = { .host = init_.host, .failureDomain = init_.failureDomain } });
@@ -48,6 +49,9 @@
       std::shared_ptr<EventLoop::Timer>(loop_.RunAfter(aDelay, std::move(aCallback))));
   };
   slots.now = Now;
+  slots.onUpstreams = [this](std::span<const RegisteredUpstream* const> aAccepting) {
+    ShareEndpoints(aAccepting);
+  };
   slots.onNews = [this] { hasNews_ = true; };
   slots.retries = { init_.retryRatio, init_.retrySlack, init_.retryWindow };
   slots_ = std::make_unique<SlotClient>(std::move(slots));
@@ -150,6 +154,16 @@
   loop_.Post([=, this] { slots_->Release(aSequence, aReport); });
 }
 
+void FleetControl::ReportPause(std::string aUpstream,
+                               int64_t aStartedAtMs,
+                               Milliseconds aPause,
+                               TimePoint aAnsweredAt)
+{
+  loop_.Post([=, this, aUpstream = std::move(aUpstream)] {
+    slots_->ReportPause(aUpstream, aStartedAtMs, aPause, aAnsweredAt);
+  });
+}
+
 void FleetControl::ReportCrash(uint64_t aFingerprint,
                                quarantine::Crash aCrash,
                                std::string aRequestId,
@@ -179,6 +193,7 @@
   }
   ReadStore(now);
   ConnectPeers(now);
+  ShareRelayPeers();
   AskPeerForState(now);
   FetchConfiguration(now);
   if (IsReady() != isReady_) {
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -12,6 +12,7 @@
 #include "boragegauge/httpd.h"
 #include "boragegauge/overlay.h"
 #include "boragegauge/peering.h"
+#include "boragegauge/relay.h"
 #include "metered_store_p.h"
 #include "routes_p.h"
 #include "shared_document_p.h"
@@ -30,6 +31,9 @@
 /// their state even if the store does not respond.
 constexpr size_t kStandbyReaders = 8;
 
+/// The upstreams that accept requests, by id.
+using UpstreamEndpoints = std::map<std::string, RegisteredUpstream, std::less<>>;
+
 /// State that the control thread shares with the traffic threads.
 struct FleetShared
 {
@@ -37,6 +41,10 @@
   /// False from the end of a pause of the process until the store or a peer has confirmed the state
   /// of this host. New requests wait while it is false.
   std::atomic<bool> isStateConfirmed{ true };
+  /// The other hosts that send requests for this one; null until they are known.
+  std::atomic<std::shared_ptr<const relay::RelayPeers>> relayPeers;
+  /// Null if this host does not relay, or knows no upstreams yet.
+  std::atomic<std::shared_ptr<const UpstreamEndpoints>> endpoints;
   /// Called on the control thread after routes has changed or isStateConfirmed has become true.
   /// Must be set before the control thread starts.
   std::function<void()> onRoutes;
@@ -67,6 +75,11 @@
   /// The callback runs on the control thread.
   void Acquire(uint64_t aSequence, SlotQuery aQuery, SlotCallback aCallback);
   void Release(uint64_t aSequence, const SlotReport& aReport);
+  /// See SlotClient::ReportPause().
+  void ReportPause(std::string aUpstream,
+                   int64_t aStartedAtMs,
+                   Milliseconds aPause,
+                   TimePoint aAnsweredAt);
   /// See SlotClient::ReportCrash().
   void ReportCrash(uint64_t aFingerprint,
                    quarantine::Crash aCrash,
@@ -176,6 +189,9 @@
   void CheckMembers(const wire::View& aView, const std::string& aHost, TimePoint aNow);
   /// @return True if the member was unknown.
   bool AddMember(const Member& aMember);
+  /// Tells the traffic thread which hosts relay requests.
+  void ShareRelayPeers();
+  void ShareEndpoints(std::span<const RegisteredUpstream* const> aAccepting);
   /// Connects to a member unless there is a connection. @return Whether the connection is ready.
   bool ConnectPeer(const std::string& aHost);
   void SendBytes(const std::string& aHost, const std::string& aBytes);
@@ -256,7 +272,8 @@
   TimePoint lastStoreFailure_{}; ///< Valid while storeFailures_ is not 0.
   TimePoint nextAllocatorHello_{};
   TimePoint nextIdleCheck_{};
-  bool arePeersConnected_ = false; ///< Since the last change of members or shards.
+  bool areRelayPeersShared_ = false; ///< Since the last change of the members.
+  bool arePeersConnected_ = false;   ///< Since the last change of members or shards.
   bool hasReadMembers_ = false;
   TimePoint membersReadAt_{};
   StorePosition membersPosition_; ///< Of the store, as of the last read of the members.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -55,6 +55,7 @@
     connectedPeers_.erase(aMember.host);
     arePeersConnected_ = false;
   }
+  areRelayPeersShared_ = areRelayPeersShared_ && !isNew && !isRestarted;
   if (members_->Add(aMember)) {
     connectedPeers_.erase(aMember.host);
     arePeersConnected_ = false;
@@ -63,6 +64,32 @@
   return isNew;
 }
 
+void FleetControl::ShareRelayPeers()
+{
+  if (std::exchange(areRelayPeersShared_, true)) {
+    return;
+  }
+  auto peers = std::make_shared<relay::RelayPeers>();
+  for (const Member& member : members_->All()) {
+    if (member.relayPort != 0 && member.host != init_.host) {
+      peers->push_back({ member.host, member.address, member.relayPort, member.failureDomain });
+    }
+  }
+  shared_.relayPeers = std::move(peers);
+}
+
+void FleetControl::ShareEndpoints(std::span<const RegisteredUpstream* const> aAccepting)
+{
+  if (init_.relayPort == 0) {
+    return;
+  }
+  auto endpoints = std::make_shared<UpstreamEndpoints>();
+  for (const RegisteredUpstream* upstream : aAccepting) {
+    endpoints->emplace(upstream->id, *upstream);
+  }
+  shared_.endpoints = std::move(endpoints);
+}
+
 bool FleetControl::ConnectPeer(const std::string& aHost)
 {
   const Member* member = members_->Find(aHost);
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -47,7 +47,7 @@
 {
   return aLeft.host == aRight.host && aLeft.address == aRight.address &&
          aLeft.port == aRight.port && aLeft.failureDomain == aRight.failureDomain &&
-         aLeft.capacity == aRight.capacity;
+         aLeft.capacity == aRight.capacity && aLeft.relayPort == aRight.relayPort;
 }
 
 } // namespace
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -28,7 +28,8 @@
 uint64_t Members::DigestOf(const Member& aMember)
 {
   return Hash64(aMember.host + '|' + aMember.address + ':' + std::to_string(aMember.port) + '|' +
-                aMember.failureDomain + '|' + std::to_string(aMember.capacity));
+                aMember.failureDomain + '|' + std::to_string(aMember.capacity) + '|' +
+                std::to_string(aMember.relayPort));
 }
 
 bool Members::Add(const Member& aMember)
--- a/packages/fleet/src/members_p.h
+++ b/packages/fleet/src/members_p.h
@@ -18,6 +18,7 @@
   std::string failureDomain;
   uint64_t incarnation = 0; ///< Wall clock at the start of the process, in ms.
   uint32_t capacity = 0;    ///< CPU capacity, in percent of a core.
+  uint16_t relayPort = 0;   ///< See FleetInit::relayPort.
 };
 
 struct MembersInit
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -41,13 +41,19 @@
   member.set_failure_domain(aMember.failureDomain);
   member.set_incarnation(aMember.incarnation);
   member.set_capacity(aMember.capacity);
+  member.set_relay_port(aMember.relayPort);
   return member;
 }
 
 Member FromWire(const wire::Member& aMember)
 {
-  return { aMember.host(),           aMember.address(),     static_cast<uint16_t>(aMember.port()),
-           aMember.failure_domain(), aMember.incarnation(), aMember.capacity() };
+  return { aMember.host(),
+           aMember.address(),
+           static_cast<uint16_t>(aMember.port()),
+           aMember.failure_domain(),
+           aMember.incarnation(),
+           aMember.capacity(),
+           static_cast<uint16_t>(aMember.relay_port()) };
 }
 
 wire::StorePosition ToWire(const StorePosition& aPosition)
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -48,6 +48,11 @@
       .Name("boragegauge_fleet_paused_upstreams")
       .Help("Upstreams that have asked this host for a pause that has not ended")
       .Register(registry);
+  prometheus::Family<prometheus::Counter>& relayed =
+    prometheus::BuildCounter()
+      .Name("boragegauge_fleet_relayed_requests_total")
+      .Help("Requests that hosts without links to upstreams have sent by way of others")
+      .Register(registry);
   prometheus::Gauge& lostLinks = prometheus::BuildGauge()
                                    .Name("boragegauge_fleet_upstream_links_lost")
                                    .Help("1 while this host reaches no upstream")
@@ -128,6 +133,12 @@
   }
 }
 
+void FleetMetrics::RecordRelay(std::string_view aRole, std::string_view aOutcome)
+{
+  impl_->relayed.Add({ { "role", std::string(aRole) }, { "outcome", std::string(aOutcome) } })
+    .Increment();
+}
+
 void FleetMetrics::SetHasLostLinks(bool aHasLostLinks)
 {
   impl_->lostLinks.Set(aHasLostLinks ? 1 : 0);
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -12,11 +12,16 @@
 constexpr Duration kResponseMargin = Milliseconds(30);
 /// Time for a request if its route has no timeout.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
-/// A connection within a region takes a few ms, or a second more after a lost packet. Another
-/// upstream is tried instead of waiting for the retransmission.
-constexpr Duration kConnectTimeout = Milliseconds(150);
 /// Connection failures after which a request fails.
 constexpr uint32_t kMaxUnreachableUpstreams = 5;
+/// Hosts that are asked to relay one attempt. With most hosts cut off, most of the others are known
+/// after a few requests.
+constexpr size_t kMaxRelays = 4;
+/// A host that cannot be connected to, or has lost its links, is not asked again for this long.
+constexpr Duration kRelayUnablePeriod = std::chrono::seconds(2);
+constexpr Duration kRelayBusyPeriod = Milliseconds(100);
+/// A caller that comes back reaches another host, which probably has its links.
+constexpr Duration kNoLinksRetryAfter = Milliseconds(100);
 /// A request is not retried with less time until its deadline.
 constexpr Duration kMinRetryTime = Milliseconds(100);
 /// Retry-After of responses while the host has no configuration.
@@ -116,7 +121,7 @@
                                                                           : route_->timeout);
   query.deadline = deadline_;
   query.exclude = triedUpstreams_;
-  for (std::string& upstream : traffic_.UnreachableUpstreams(now)) {
+  for (std::string& upstream : traffic_.AvoidedUpstreams(now)) {
     query.exclude.push_back(std::move(upstream));
   }
   traffic_.Control().Acquire(
@@ -171,6 +176,19 @@
   isLeaving_ = false;
   pause_.reset();
   hasSurvived_ = false;
+  triedRelays_.clear();
+  relay_.clear();
+  traffic_.TryLinks();
+  if (traffic_.PrefersRelay(upstream_.id, now)) {
+    return SendByRelay();
+  }
+  transfer_ = traffic_.Client().Send(
+    MakeUpstreamRequest(timeLeft),
+    [self = shared_from_this()](UpstreamResult aResult) { self->OnResult(std::move(aResult)); });
+}
+
+UpstreamRequest FleetSession::MakeUpstreamRequest(Duration aTimeLeft) const
+{
   UpstreamRequest request;
   request.address = upstream_.address;
   request.port = upstream_.port;
@@ -182,19 +200,103 @@
     request.headers.push_back({ "Host", *host });
   }
   traffic_.Control().Dialect().writeUpstream(
-    request.headers, std::chrono::duration_cast<Milliseconds>(timeLeft), upstream_.id);
-  request.connectTimeout = kConnectTimeout;
-  request.deadline = timeLeft;
-  // A new connection proves that the network path works in both directions, and cannot hold bytes
-  // of an earlier response. Pooling would not help: a host sends to each upstream so rarely that an
-  // idle connection would have been closed.
-  request.freshConnection = true;
-  request.acceptClosedEnd = true;
-  request.maxResponseBytes = traffic_.MaxResponseBytes();
+    request.headers, std::chrono::duration_cast<Milliseconds>(aTimeLeft), upstream_.id);
+  traffic_.SetTransferLimits(request, aTimeLeft);
+  return request;
+}
+
+void FleetSession::SendByRelay()
+{
+  const TimePoint now = Now();
+  const Duration timeLeft = deadline_ - now;
+  if (timeLeft <= Duration(0)) {
+    return OnDeadline();
+  }
+  const relay::RelayPeer* peer =
+    triedRelays_.size() < kMaxRelays ? traffic_.SelectRelay(triedRelays_, now) : nullptr;
+  if (peer == nullptr) {
+    return OnRelaysExhausted();
+  }
+  relay_ = peer->host;
+  triedRelays_.push_back(relay_);
+  sentAt_ = now;
+  Log(LogLevel::Info,
+      "attempt_relayed",
+      { { "request_id", caller_.requestId },
+        { "upstream", upstream_.id },
+        { "service", service_ },
+        { "peer", relay_ },
+        { "links_lost", traffic_.Links().HasLostLinks() } });
   transfer_ =
-    traffic_.Client().Send(std::move(request), [self = shared_from_this()](UpstreamResult aResult) {
-      self->OnResult(std::move(aResult));
-    });
+    traffic_.Client().Send(MakeRelayRequest(MakeUpstreamRequest(timeLeft), upstream_.id, *peer),
+                           [self = shared_from_this()](UpstreamResult aResult) {
+                             self->OnRelayResult(std::move(aResult));
+                           });
+}
+
+void FleetSession::OnRelayResult(UpstreamResult aResult)
+{
+  transfer_ = 0;
+  if (hasResponded_) {
+    return;
+  }
+  const TimePoint now = Now();
+  relay::RelaySelector& relays = traffic_.Relays();
+  if (aResult.failure == UpstreamFailure::Connect || !aResult.maybeSent) {
+    traffic_.Metrics().RecordRelay("sent", "unconnected");
+    relays.RecordUnable(relay_, kRelayUnablePeriod, now);
+    return SendByRelay();
+  }
+  const auto outcome = aResult.failure == UpstreamFailure::None ? ReadRelayResult(aResult)
+                                                                : std::optional<RelayOutcome>();
+  traffic_.Metrics().RecordRelay("sent", outcome ? ToString(*outcome) : "broken");
+  if (!outcome) { // The relaying host may have sent the request before the connection ended.
+    relays.RecordUnable(relay_, kRelayUnablePeriod, now);
+    if (aResult.failure == UpstreamFailure::None) {
+      aResult.failure = UpstreamFailure::Protocol;
+    }
+    return OnTransportFailure(aResult);
+  }
+  switch (*outcome) {
+    case RelayOutcome::NoLinks:
+      relays.RecordUnable(relay_, kRelayUnablePeriod, now);
+      return SendByRelay();
+    case RelayOutcome::Busy:
+      relays.RecordUnable(relay_, kRelayBusyPeriod, now);
+      return SendByRelay();
+    case RelayOutcome::Unreachable:
+      return OnUnreachable(Outcome::Unreachable, aResult.detail);
+    case RelayOutcome::Unknown:
+      return OnUnreachable(Outcome::Cancelled, aResult.detail);
+    default:
+      break;
+  }
+  relays.RecordServed(relay_, now);
+  if (*outcome == RelayOutcome::Crashed) {
+    traffic_.Control().ReportCrash(fingerprint_,
+                                   { upstream_.id, upstream_.startedAtMs, sentAt_, now, "" },
+                                   caller_.requestId,
+                                   request_.target);
+  }
+  if (aResult.failure != UpstreamFailure::None) {
+    return OnTransportFailure(aResult);
+  }
+  OnResponse(std::move(aResult));
+}
+
+/// Neither this host nor one that it can ask reaches the upstream.
+void FleetSession::OnRelaysExhausted()
+{
+  if (!traffic_.Links().HasLostLinks() || !traffic_.Relays().HasPeers()) {
+    // Without a relay at all, nobody else can tell whether the upstream is down.
+    const bool isOwnFault = traffic_.Links().IsInDoubtBeside(upstream_.id);
+    return OnUnreachable(isOwnFault ? Outcome::Cancelled : Outcome::Unreachable,
+                         "the upstream cannot be connected to");
+  }
+  --attempts_;
+  FinishAttempt(Outcome::Cancelled, "this host reaches no upstream, and no other host relays");
+  Fail(
+    mayHaveExecuted_ ? 502 : 503, "no_links", "this host reaches no upstream", kNoLinksRetryAfter);
 }
 
 void FleetSession::FinishAttempt(Outcome aOutcome, std::string_view aDetail)
@@ -221,6 +323,7 @@
           { "outcome", ToString(aOutcome) },
           { "fingerprint", FormatFingerprint(fingerprint_) },
           { "latency_ms", ToMilliseconds(latency) },
+          { "peer", relay_ },
           { "detail", aDetail } });
   }
 }
@@ -232,7 +335,8 @@
     return;
   }
   if (aResult.failure == UpstreamFailure::Connect || !aResult.maybeSent) {
-    return OnUnreachable(aResult);
+    traffic_.RecordUnreachable(upstream_.id, Now());
+    return SendByRelay();
   }
   traffic_.RecordConnected(upstream_.id, Now());
   if (aResult.failure != UpstreamFailure::None) {
@@ -241,16 +345,16 @@
   OnResponse(std::move(aResult));
 }
 
-void FleetSession::OnUnreachable(const UpstreamResult& aResult)
+void FleetSession::OnUnreachable(Outcome aOutcome, const std::string& aDetail)
 {
   --attempts_;
   ++unreachableCount_;
-  FinishAttempt(Outcome::Unreachable, aResult.detail);
-  traffic_.RecordUnreachable(upstream_.id, Now());
+  FinishAttempt(aOutcome, aDetail);
+  traffic_.RecordDown(upstream_.id, Now());
   if (unreachableCount_ < kMaxUnreachableUpstreams && deadline_ - Now() > kMinRetryTime) {
     return AcquireSlot();
   }
-  Fail(mayHaveExecuted_ ? 502 : 503, "unreachable", aResult.detail, Milliseconds(500));
+  Fail(mayHaveExecuted_ ? 502 : 503, "unreachable", aDetail, Milliseconds(500));
 }
 
 void FleetSession::OnTransportFailure(const UpstreamResult& aResult)
@@ -266,7 +370,7 @@
   }
   const bool isCutOff =
     aResult.failure == UpstreamFailure::Reset || aResult.failure == UpstreamFailure::Truncated;
-  if (!isCutOff) {
+  if (!isCutOff || !relay_.empty()) { // The relaying host has looked whether it has crashed.
     return RetryOrFail(aResult.detail);
   }
   if (!IsIdempotent()) { // There is no retry that depends on the result.
@@ -291,20 +395,21 @@
 void FleetSession::ReportCrash(std::function<void()> aDone)
 {
   quarantine::Crash crash{ upstream_.id, upstream_.startedAtMs, sentAt_, Now(), "" };
-  traffic_.VerifyCrash(upstream_,
-                       [self = shared_from_this(),
-                        crash = std::move(crash),
-                        isTrial = isSuspectTrial_,
-                        done = std::move(aDone)](bool aHasCrashed) {
-                         // A trial runs by itself, so that nothing else has ended the connection.
-                         if (aHasCrashed || isTrial) {
-                           self->traffic_.Control().ReportCrash(self->fingerprint_,
-                                                                crash,
-                                                                self->caller_.requestId,
-                                                                self->request_.target);
-                         }
-                         done();
-                       });
+  traffic_.VerifyCrash(
+    upstream_,
+    [self = shared_from_this(),
+     crash = std::move(crash),
+     isTrial = isSuspectTrial_,
+     done = std::move(aDone)](bool aHasCrashed) {
+      // A host that has lost its links cannot tell. A trial runs by itself, so
+      // that nothing else has ended the connection.
+      const bool isOwnFault = self->traffic_.Links().IsInDoubtBeside(crash.upstream);
+      if ((aHasCrashed && !isOwnFault) || isTrial) {
+        self->traffic_.Control().ReportCrash(
+          self->fingerprint_, crash, self->caller_.requestId, self->request_.target);
+      }
+      done();
+    });
 }
 
 void FleetSession::OnRefused(Outcome aOutcome)
@@ -388,6 +493,9 @@
   answeredAt_ = Now();
   isLeaving_ = aMetadata.isLeaving;
   pause_ = aMetadata.pause;
+  if (pause_ && relay_.empty()) {
+    traffic_.RecordPause(upstream_, *pause_, answeredAt_);
+  }
 }
 
 bool FleetSession::Retry(std::string_view aReason)
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "boragegauge/http_util.h"
-#include "boragegauge/relay.h"
 #include "control_p.h"
 #include "metrics_p.h"
+#include "relay_p.h"
 
 namespace bg::fleet::detail {
 
@@ -49,11 +49,28 @@
   /// Starts the session when the configuration has been confirmed, at the latest after a timeout.
   /// The session fails if there is no configuration by then.
   void AwaitConfiguration(std::shared_ptr<FleetSession> aSession);
-  /// Makes the requests of this thread avoid an upstream for a while after a failed connection.
+  /// Makes the requests of this thread avoid the path to an upstream for a while after a failed
+  /// connection.
   void RecordUnreachable(const std::string& aUpstream, TimePoint aNow);
-  /// Records that an upstream was reached over a connection of its own.
+  /// Records that an upstream was reached from this host.
   void RecordConnected(const std::string& aUpstream, TimePoint aNow);
-  std::vector<std::string> UnreachableUpstreams(TimePoint aNow);
+  /// Makes the requests of this thread avoid an upstream for a while that no host reaches.
+  void RecordDown(const std::string& aUpstream, TimePoint aNow);
+  /// The upstreams that no request is to be sent to, on any path.
+  std::vector<std::string> AvoidedUpstreams(TimePoint aNow);
+  const relay::LinkMonitor& Links() const { return links_; }
+  /// Tries a connection to some upstream, if one is due, to find out whether lost links are back.
+  void TryLinks();
+  /// Whether a request to the upstream is better sent by way of another host.
+  bool PrefersRelay(const std::string& aUpstream, TimePoint aNow) const;
+  /// See relay::RelaySelector::Select().
+  const relay::RelayPeer* SelectRelay(std::span<const std::string> aTried, TimePoint aNow);
+  relay::RelaySelector& Relays() { return relays_; }
+  /// Records that an upstream wants no requests of this host for a while, its own or relayed ones.
+  void RecordPause(const RegisteredUpstream& aUpstream, Milliseconds aPause, TimePoint aNow);
+  bool IsPaused(const RegisteredUpstream& aUpstream, TimePoint aNow) const;
+  /// Sets the limits of a request that is sent to an upstream.
+  void SetTransferLimits(UpstreamRequest& aRequest, Duration aTimeLeft) const;
   /// Finds out whether an upstream that has cut off a response has crashed: it accepts no new
   /// connection.
   void VerifyCrash(const RegisteredUpstream& aUpstream,
@@ -76,13 +93,20 @@
   std::unique_ptr<EventLoop::Timer> waitTimer_;
   std::unique_ptr<UpstreamClient> client_;
   std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<RelayServer> relayServer_; ///< Null if this host does not relay.
   std::thread thread_;
   std::atomic<size_t> active_{ 0 };
   uint64_t sequence_ = 0;
   uint64_t random_;
-  std::map<std::string, TimePoint> unreachableUntil_; ///< By upstream.
+  /// Upstreams to which this host has failed to connect, and those that no host reaches; until when
+  /// they are avoided.
+  std::map<std::string, TimePoint, std::less<>> unreachableUntil_;
+  std::map<std::string, TimePoint, std::less<>> downUntil_;
   TimePoint nextInvalidNoticeLog_{};
+  UpstreamNotices
+    notices_; ///< Pauses only; for relayed requests, which get no slot from this host.
   relay::LinkMonitor links_;
+  relay::RelaySelector relays_;
 };
 
 /// A request of a caller from its arrival to its response. Pending callbacks share the ownership of
@@ -109,6 +133,11 @@
   void AcquireSlot();
   void OnSlotResult(uint64_t aSequence, SlotResult aResult);
   void Send();
+  UpstreamRequest MakeUpstreamRequest(Duration aTimeLeft) const;
+  /// Sends the request by way of a host that has not been tried for it.
+  void SendByRelay();
+  void OnRelayResult(UpstreamResult aResult);
+  void OnRelaysExhausted();
   void OnResult(UpstreamResult aResult);
   void OnResponse(UpstreamResult aResult);
   /// Notes the request limit that a response of the upstream names, for FinishAttempt().
@@ -119,7 +148,8 @@
   /// Reports the crash of the upstream if it has crashed, then calls a function.
   void ReportCrash(std::function<void()> aDone);
   void RetryOrFail(const std::string& aDetail);
-  void OnUnreachable(const UpstreamResult& aResult);
+  /// @param aOutcome Cancelled if the upstream is not to blame.
+  void OnUnreachable(placement::Outcome aOutcome, const std::string& aDetail);
   void OnRefused(placement::Outcome aOutcome);
   /// @return False if no further attempt is allowed by the route or the time left.
   bool Retry(std::string_view aReason);
@@ -153,6 +183,8 @@
   bool hasSurvived_ = false;          ///< See SlotReport::survivor.
   RegisteredUpstream upstream_;
   bool isSuspectTrial_ = false;             ///< See SlotResult::isSuspectTrial.
+  std::vector<std::string> triedRelays_;    ///< Hosts asked to relay the current attempt.
+  std::string relay_;                       ///< Host that relays it; empty: it was sent directly.
   std::vector<std::string> triedUpstreams_; ///< Not selected again.
   uint32_t attempts_ = 0;                   ///< Upstreams that the request was sent to.
   uint32_t unreachableCount_ = 0;           ///< Failed connections to upstreams.
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -80,8 +80,15 @@
 void SlotClient::UpdateUpstreams(TimePoint aNow)
 {
   std::unordered_map<std::string, size_t> counts;
+  std::vector<const RegisteredUpstream*> accepting;
   for (const auto& [id, upstream] : init_.registry->Upstreams()) {
-    counts[upstream.service] += IsAccepting(upstream) ? 1 : 0;
+    if (IsAccepting(upstream)) {
+      ++counts[upstream.service];
+      accepting.push_back(&upstream);
+    }
+  }
+  if (init_.onUpstreams) {
+    init_.onUpstreams(accepting);
   }
   std::unordered_map<std::string, size_t> shardCounts;
   for (const auto& [service, count] : counts) {
@@ -223,6 +230,17 @@
         { "peer", Self() } });
 }
 
+void SlotClient::ReportPause(const std::string& aUpstream,
+                             int64_t aStartedAtMs,
+                             Milliseconds aPause,
+                             TimePoint aAnsweredAt)
+{
+  HeldSlot slot;
+  slot.upstream = aUpstream;
+  slot.startedAtMs = aStartedAtMs;
+  RecordPause(slot, aPause, aAnsweredAt);
+}
+
 std::vector<std::string> SlotClient::PausedUpstreams(std::string_view aService,
                                                      TimePoint aNow) const
 {
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -81,6 +81,8 @@
   /// This host has learned something that all hosts have to know: that an upstream leaves, or of a
   /// request that crashes upstreams.
   std::function<void()> onNews = nullptr;
+  /// The upstreams that accept requests may have changed.
+  std::function<void(std::span<const RegisteredUpstream* const>)> onUpstreams = nullptr;
   placement::RetryWindow::Init retries{};             ///< Budget per service, over all hosts.
   Duration responseTimeout = Milliseconds(60);        ///< Until the next allocator is asked.
   Duration queueCheckInterval = Milliseconds(200);    ///< Between repeats of a queued request.
@@ -133,6 +135,12 @@
   std::map<std::string, size_t> LeavingUpstreams() const;
   /// Number of upstreams that want no requests of this host now, by service.
   std::map<std::string, size_t> PausedUpstreams() const;
+  /// Records that an upstream wants no requests of this host for a while, as the response to a
+  /// request that this host has relayed says.
+  void ReportPause(const std::string& aUpstream,
+                   int64_t aStartedAtMs,
+                   Milliseconds aPause,
+                   TimePoint aAnsweredAt);
   /// Records that an upstream has crashed under a request of this host.
   /// @param aRequestId For logs. @param aTarget Target of the request, for logs.
   void ReportCrash(uint64_t aFingerprint,
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -10,6 +10,9 @@
 /// After a start or a pause, a host has the current configuration within some 100 ms, or 600 ms if
 /// it is large and the network link slow. Requests that wait for it can still meet their deadlines.
 constexpr Duration kConfigurationTimeout = std::chrono::seconds(1);
+/// A connection within a region takes a few ms, or a second more after a lost packet. Another
+/// upstream is tried instead of waiting for the retransmission.
+constexpr Duration kConnectTimeout = Milliseconds(150);
 /// Time for a connection to an upstream that may have crashed. It is tried twice, because a packet
 /// may be lost.
 constexpr Duration kProbeTimeout = Milliseconds(150);
@@ -28,6 +31,7 @@
   , control_(aControl)
   , metrics_(aMetrics)
   , random_(Hash64(RandomToken()) | 1)
+  , relays_(init_.failureDomain)
 {
 }
 
@@ -56,6 +60,12 @@
     return server.Failure();
   }
   server_ = std::move(*server);
+  if (init_.relayPort != 0) {
+    relayServer_ = std::make_unique<RelayServer>(*this);
+    if (const auto error = relayServer_->Start(init_, loop_, budget)) {
+      return error;
+    }
+  }
   shared_.onRoutes = [this] { loop_.Post([this] { ApplyConfiguration(); }); };
   shared_.onResumed = [this] { loop_.CheckTimers(); };
   thread_ = std::thread([this] { loop_.Run(); });
@@ -64,7 +74,12 @@
 
 void FleetTraffic::CloseAfterResponses()
 {
-  loop_.Post([this] { server_->CloseAfterResponses(); });
+  loop_.Post([this] {
+    server_->CloseAfterResponses();
+    if (relayServer_) {
+      relayServer_->BeginStop();
+    }
+  });
 }
 
 void FleetTraffic::StopAccepting()
@@ -81,6 +96,7 @@
     waitTimer_.reset();
     waitingSessions_.clear();
     server_.reset();
+    relayServer_.reset();
     client_.reset();
     loop_.Stop();
   });
@@ -138,6 +154,7 @@
   const TimePoint lostAt = links_.Since();
   if (links_.RecordConnected(aUpstream, aNow)) {
     metrics_.SetHasLostLinks(false);
+    unreachableUntil_.clear();
     Log(LogLevel::Warning,
         "upstream_links_regained",
         { { "upstream", aUpstream }, { "lost_ms", (aNow - lostAt) / Milliseconds(1) } });
@@ -168,14 +185,84 @@
   return true;
 }
 
-std::vector<std::string> FleetTraffic::UnreachableUpstreams(TimePoint aNow)
+void FleetTraffic::RecordDown(const std::string& aUpstream, TimePoint aNow)
+{
+  downUntil_[aUpstream] = aNow + kUnreachablePeriod;
+}
+
+std::vector<std::string> FleetTraffic::AvoidedUpstreams(TimePoint aNow)
 {
-  std::erase_if(unreachableUntil_, [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  const auto isOver = [aNow](const auto& aEntry) { return aEntry.second <= aNow; };
+  std::erase_if(unreachableUntil_, isOver);
+  std::erase_if(downUntil_, isOver);
+  const bool mayRelay = SelectRelay({}, aNow) != nullptr;
   std::vector<std::string> upstreams;
-  for (const auto& [upstream, until] : unreachableUntil_) {
+  for (const auto& [upstream, until] : mayRelay ? downUntil_ : unreachableUntil_) {
     upstreams.push_back(upstream);
   }
   return upstreams;
 }
 
+bool FleetTraffic::PrefersRelay(const std::string& aUpstream, TimePoint aNow) const
+{
+  const auto unreachable = unreachableUntil_.find(aUpstream);
+  if (!relays_.HasPeers()) {
+    return false;
+  }
+  return links_.HasLostLinks() ||
+         (unreachable != unreachableUntil_.end() && unreachable->second > aNow);
+}
+
+const relay::RelayPeer* FleetTraffic::SelectRelay(std::span<const std::string> aTried,
+                                                  TimePoint aNow)
+{
+  relays_.SetPeers(shared_.relayPeers.load());
+  return relays_.Select(aTried, Random(), aNow);
+}
+
+void FleetTraffic::TryLinks()
+{
+  const TimePoint now = Now();
+  const auto endpoints = shared_.endpoints.load();
+  if (!links_.IsTrialDue(now) || !endpoints || endpoints->empty()) {
+    return;
+  }
+  links_.RecordTrial(now);
+  const auto index = static_cast<int64_t>(Random() % endpoints->size());
+  const RegisteredUpstream& upstream = std::next(endpoints->begin(), index)->second;
+  client_->Probe(
+    upstream.address, upstream.port, kProbeTimeout, [this, id = upstream.id](ProbeResult aResult) {
+      if (aResult == ProbeResult::Accepted) {
+        RecordConnected(id, Now());
+      } else {
+        RecordUnreachable(id, Now());
+      }
+    });
+}
+
+void FleetTraffic::RecordPause(const RegisteredUpstream& aUpstream,
+                               Milliseconds aPause,
+                               TimePoint aNow)
+{
+  notices_.Expire([](std::string_view) { return nullptr; }, aNow);
+  notices_.RecordPause(aUpstream.id, { aUpstream.startedAtMs, aNow, aNow + aPause });
+}
+
+bool FleetTraffic::IsPaused(const RegisteredUpstream& aUpstream, TimePoint aNow) const
+{
+  return notices_.IsPaused(aUpstream, aNow);
+}
+
+void FleetTraffic::SetTransferLimits(UpstreamRequest& aRequest, Duration aTimeLeft) const
+{
+  aRequest.connectTimeout = kConnectTimeout;
+  aRequest.deadline = aTimeLeft;
+  // A new connection proves that the network path works in both directions, and cannot hold bytes
+  // of an earlier response. Pooling would not help: a host sends to each upstream so rarely that an
+  // idle connection would have been closed.
+  aRequest.freshConnection = true;
+  aRequest.acceptClosedEnd = true;
+  aRequest.maxResponseBytes = init_.maxResponseBytes;
+}
+
 } // namespace bg::fleet::detail
--- a/packages/fleet/tests/lost_links_test.cpp
+++ b/packages/fleet/tests/lost_links_test.cpp
@@ -20,9 +20,10 @@
   {
     tables_.Put(kConfigurationTable, "current", "1");
     const uint16_t peerPort = FreePort();
+    const uint16_t relayPort = FreePort();
     for (int i = 0; i < aHosts; ++i) {
       hosts.push_back(std::make_unique<ServingHost>(
-        tables_, "host" + std::to_string(i), kFirstAddress + i, peerPort));
+        tables_, "host" + std::to_string(i), kFirstAddress + i, peerPort, relayPort));
     }
     for (const auto& host : hosts) {
       REQUIRE(Eventually([&] { return host->IsServing(); }));
@@ -97,3 +98,55 @@
   CHECK(fleet.Serve(0) >= CutFleet::kRequests * 2 / 3);
   CHECK(fleet.Serve(2) == CutFleet::kRequests);
 }
+
+TEST_CASE("a host notices when it has lost its links and when they are back")
+{
+  CutFleet fleet(2);
+  const auto hasLostLinks = [&] {
+    return fleet.hosts[0]->Metrics().find("\nboragegauge_fleet_upstream_links_lost 1") !=
+           std::string::npos;
+  };
+  fleet.Cut(1, LinkState::Refusing);
+  CHECK(fleet.Serve(0) == CutFleet::kRequests);
+  CHECK(hasLostLinks());
+  fleet.Cut(1, LinkState::Well);
+  CHECK(Eventually([&] {
+    fleet.Serve(0, 1);
+    return !hasLostLinks();
+  }));
+  CHECK(fleet.Serve(0) == CutFleet::kRequests);
+}
+
+TEST_CASE("if no host reaches an upstream, requests are refused at once and have not run")
+{
+  CutFleet fleet(3);
+  fleet.Cut(3, LinkState::Hanging);
+  for (int host = 0; host < 3; ++host) {
+    fleet.Serve(host, 6);
+  }
+  const TimePoint start = Now();
+  CHECK(fleet.Serve(0, 4) == 0);
+  CHECK(Now() - start < std::chrono::seconds(1));
+  fleet.Cut(3, LinkState::Well);
+  CHECK(Eventually([&] { return fleet.Serve(0, 1) == 1; }));
+}
+
+TEST_CASE("a host relays only what another host may ask for")
+{
+  CutFleet fleet(1);
+  const auto outcome = [&](std::vector<HttpHeader> aHeaders) {
+    const UpstreamResult result = fleet.hosts[0]->CallRelay(std::move(aHeaders));
+    const std::string* name = FindHeader(result.headers, "Relay-Outcome");
+    return std::to_string(result.status) + " " + (name == nullptr ? "" : *name);
+  };
+  CHECK(outcome({ { "Relay-Upstream", "u1" } }) == "400 ");
+  CHECK(outcome({ { "Relay-Time-Left-Ms", "500" } }) == "400 ");
+  CHECK(outcome({ { "Relay-Upstream", "u1" }, { "Relay-Time-Left-Ms", "soon" } }) == "400 ");
+  CHECK(outcome({ { "Relay-Upstream", "nobody" }, { "Relay-Time-Left-Ms", "500" } }) ==
+        "502 unknown");
+  // The upstream itself rejects a request without an id.
+  CHECK(outcome({ { "Relay-Upstream", "u1" }, { "Relay-Time-Left-Ms", "500" } }) == "400 response");
+  fleet.Cut(1, LinkState::Refusing);
+  fleet.Serve(0, 4);
+  CHECK(outcome({ { "Relay-Upstream", "u1" }, { "Relay-Time-Left-Ms", "500" } }) == "502 no_links");
+}
--- a/packages/fleet/tests/serving_host.h
+++ b/packages/fleet/tests/serving_host.h
@@ -162,8 +162,13 @@
 class ServingHost
 {
 public:
-  ServingHost(FakeTables& aTables, const std::string& aName, int aNumber, uint16_t aPeerPort)
+  ServingHost(FakeTables& aTables,
+              const std::string& aName,
+              int aNumber,
+              uint16_t aPeerPort,
+              uint16_t aRelayPort)
   {
+    init_.relayPort = aRelayPort;
     init_.host = aName;
     init_.failureDomain = "a";
     init_.address = "127.0.0." + std::to_string(aNumber);
@@ -191,13 +196,34 @@
 
   /// Sends a request as a caller and waits for the response.
   UpstreamResult Call(const std::string& aMethod, const std::string& aId)
+  {
+    return Send(init_.callerPort, aMethod, aId, { { "Request-Id", aId } });
+  }
+
+  /// Sends a request as another host does that asks this one to relay it.
+  UpstreamResult CallRelay(std::vector<HttpHeader> aHeaders)
+  {
+    return Send(init_.relayPort, "GET", "relayed", std::move(aHeaders));
+  }
+
+  bool IsServing() { return Call("GET", "ready-" + std::to_string(++readyCalls_)).status == 200; }
+  std::string Metrics() const { return metrics_.Expose(); }
+
+  std::atomic<LinkState> links{ LinkState::Well };
+
+private:
+  UpstreamResult Send(uint16_t aPort,
+                      const std::string& aMethod,
+                      const std::string& aId,
+                      std::vector<HttpHeader> aHeaders)
   {
     UpstreamRequest request;
     request.address = init_.address;
-    request.port = init_.callerPort;
+    request.port = aPort;
     request.method = aMethod;
     request.target = "/" + aMethod + "/" + aId;
-    request.headers = { { "Host", "desk.example" }, { "Request-Id", aId } };
+    request.headers = std::move(aHeaders);
+    request.headers.push_back({ "Host", "desk.example" });
     if (aMethod == "POST") {
       request.body = std::make_shared<const std::string>(2000, 'x');
     }
@@ -211,12 +237,6 @@
     return result.get_future().get();
   }
 
-  bool IsServing() { return Call("GET", "ready-" + std::to_string(++readyCalls_)).status == 200; }
-  std::string Metrics() const { return metrics_.Expose(); }
-
-  std::atomic<LinkState> links{ LinkState::Well };
-
-private:
   static std::string FindValue(std::span<const HttpHeader> aHeaders, std::string_view aName)
   {
     const std::vector<HttpHeader> headers(aHeaders.begin(), aHeaders.end());
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -159,6 +159,7 @@
   init.readinessPath = store.readinessPath;
   init.adminPort = store.admin.port;
   init.peerPort = aSettings.peerPort;
+  init.relayPort = aSettings.relayPort;
   for (const SeedPeer& seed : aSettings.seeds) {
     init.seeds.push_back(seed.address);
   }
--- a/packages/proxy/src/settings.cpp
+++ b/packages/proxy/src/settings.cpp
@@ -206,6 +206,7 @@
   aReader.ReadInteger("port", 0, 65535, aSettings.port, kOptional);
   aReader.ReadInteger("admin_port", 0, 65535, aSettings.adminPort, kOptional);
   aReader.ReadInteger("peer_port", 0, 65535, aSettings.peerPort, kOptional);
+  aReader.ReadInteger("relay_port", 0, 65535, aSettings.relayPort, kOptional);
   const bool usesPlatform = aSettings.discovery == Discovery::Configuration;
   aReader.ReadAddress("platform_address", aSettings.platformAddress, usesPlatform);
   aReader.ReadInteger("platform_port", 1, 65535, aSettings.platformPort, usesPlatform);
--- a/packages/proxy/src/settings.h
+++ b/packages/proxy/src/settings.h
@@ -60,6 +60,7 @@
   uint16_t port = 0; ///< 0: chosen by the system.
   uint16_t adminPort = 0;
   uint16_t peerPort = 0;
+  uint16_t relayPort = 0;      ///< Used with Discovery::Store; 0: no relay.
   std::string platformAddress; ///< Unused with Discovery::Store.
   uint16_t platformPort = 0;
   uint32_t trafficThreads = 1;
