--- a/packages/fleet/src/relay_p.h
+++ b/packages/fleet/src/relay_p.h
@@ -56,15 +56,11 @@
   /// From now on further requests are refused.
   void BeginStop() { isStopping_ = true; }
 
-  void RequestStarted() { ++active_; }
-  void RequestEnded() { --active_; }
-
 private:
   void Handle(HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply);
 
   FleetTraffic& traffic_;
   bool isStopping_ = false;
-  size_t active_ = 0;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/packages/fleet/src/relay_server.cpp
+++ b/packages/fleet/src/relay_server.cpp
@@ -43,21 +43,19 @@
 {
 public:
   RelaySession(FleetTraffic& aTraffic,
-               RelayServer& aServer,
                RegisteredUpstream aUpstream,
                std::shared_ptr<HttpReply> aReply)
     : traffic_(aTraffic)
-    , server_(aServer)
     , upstream_(std::move(aUpstream))
     , reply_(std::move(aReply))
   {
     traffic_.SessionStarted();
-    server_.RequestStarted();
+    traffic_.RelayStarted();
   }
 
   ~RelaySession()
   {
-    server_.RequestEnded();
+    traffic_.RelayEnded();
     traffic_.SessionEnded();
   }
 
@@ -135,7 +133,6 @@
   }
 
   FleetTraffic& traffic_;
-  RelayServer& server_;
   RegisteredUpstream upstream_;
   std::shared_ptr<HttpReply> reply_;
   uint64_t transfer_ = 0; ///< Running upstream request; 0: none.
@@ -177,7 +174,7 @@
   if (id == nullptr || !milliseconds) {
     return aReply->Send({ .status = 400, .headers = {}, .body = "not a relayed request" });
   }
-  if (isStopping_ || active_ >= kMaxRelayedRequests) {
+  if (isStopping_ || traffic_.Relayed() >= kMaxRelayedRequests) {
     return SendOutcome(
       traffic_, *aReply, RelayOutcome::Busy, "too many relayed requests, or stopping");
   }
@@ -196,7 +193,7 @@
     return SendOutcome(
       traffic_, *aReply, RelayOutcome::Busy, "the upstream wants no requests of this host now");
   }
-  std::make_shared<RelaySession>(traffic_, *this, upstream->second, aReply)
+  std::make_shared<RelaySession>(traffic_, upstream->second, aReply)
     ->Start(std::move(aRequest), Milliseconds(*milliseconds));
 }
 
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -395,21 +395,21 @@
 void FleetSession::ReportCrash(std::function<void()> aDone)
 {
   quarantine::Crash crash{ upstream_.id, upstream_.startedAtMs, sentAt_, Now(), "" };
-  traffic_.VerifyCrash(
-    upstream_,
-    [self = shared_from_this(),
-     crash = std::move(crash),
-     isTrial = isSuspectTrial_,
-     done = std::move(aDone)](bool aHasCrashed) {
-      // A host that has lost its links cannot tell. A trial runs by itself, so
-      // that nothing else has ended the connection.
-      const bool isOwnFault = self->traffic_.Links().IsInDoubtBeside(crash.upstream);
-      if ((aHasCrashed && !isOwnFault) || isTrial) {
-        self->traffic_.Control().ReportCrash(
-          self->fingerprint_, crash, self->caller_.requestId, self->request_.target);
-      }
-      done();
-    });
+  traffic_.VerifyCrash(upstream_,
+                       [self = shared_from_this(),
+                        crash = std::move(crash),
+                        isTrial = isSuspectTrial_,
+                        done = std::move(aDone)](bool aHasCrashed) {
+                         // A trial runs by itself, so that no other request has ended the
+                         // connection.
+                         if (aHasCrashed || isTrial) {
+                           self->traffic_.Control().ReportCrash(self->fingerprint_,
+                                                                crash,
+                                                                self->caller_.requestId,
+                                                                self->request_.target);
+                         }
+                         done();
+                       });
 }
 
 void FleetSession::OnRefused(Outcome aOutcome)
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -72,15 +72,24 @@
   /// Sets the limits of a request that is sent to an upstream.
   void SetTransferLimits(UpstreamRequest& aRequest, Duration aTimeLeft) const;
   /// Finds out whether an upstream that has cut off a response has crashed: it accepts no new
-  /// connection.
+  /// connection, while others do.
   void VerifyCrash(const RegisteredUpstream& aUpstream,
                    std::function<void(bool aHasCrashed)> aCallback);
   /// Bounds the log lines about header fields of upstreams that cannot be read.
   bool MayLogInvalidNotice(TimePoint aNow);
+  /// Number of requests of other hosts that are being relayed.
+  size_t Relayed() const { return relayed_; }
+  void RelayStarted() { ++relayed_; }
+  void RelayEnded() { --relayed_; }
   void SessionStarted() { active_.fetch_add(1); }
   void SessionEnded() { active_.fetch_sub(1); }
 
 private:
+  /// Finds out whether this host reaches any upstream but one.
+  /// @param aProbes Upstreams to try.
+  void VerifyLinks(const std::string& aExcept,
+                   int aProbes,
+                   std::function<void(bool aAreWell)> aCallback);
   void ApplyConfiguration();
   void ServeWaitingSessions();
 
@@ -96,6 +105,7 @@
   std::unique_ptr<RelayServer> relayServer_; ///< Null if this host does not relay.
   std::thread thread_;
   std::atomic<size_t> active_{ 0 };
+  size_t relayed_ = 0;
   uint64_t sequence_ = 0;
   uint64_t random_;
   /// Upstreams to which this host has failed to connect, and those that no host reaches; until when
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -16,6 +16,9 @@
 /// Time for a connection to an upstream that may have crashed. It is tried twice, because a packet
 /// may be lost.
 constexpr Duration kProbeTimeout = Milliseconds(150);
+/// Other upstreams that are probed before one counts as crashed: if none of them accepts a
+/// connection either, this host has lost its links.
+constexpr int kCrashLinkProbes = 2;
 constexpr Duration kInvalidNoticeLogInterval = std::chrono::seconds(1);
 /// Body size limit until a configuration is active.
 constexpr size_t kMaxBodyBytes = kMaxBodyBytesLimit;
@@ -168,14 +171,47 @@
                        std::function<void(ProbeResult)> aOnResult) {
     client_->Probe(address, port, kProbeTimeout, std::move(aOnResult));
   };
-  probe([probe, callback = std::move(aCallback)](ProbeResult aResult) {
-    if (aResult != ProbeResult::Silent) {
-      return callback(aResult == ProbeResult::Refused);
-    }
-    probe([callback](ProbeResult aSecond) { callback(aSecond != ProbeResult::Accepted); });
+  const auto onResult =
+    [this, id = aUpstream.id, callback = std::move(aCallback)](ProbeResult aResult) {
+      if (aResult == ProbeResult::Accepted) {
+        return callback(false);
+      }
+      VerifyLinks(id, kCrashLinkProbes, callback);
+    };
+  probe([probe, onResult](ProbeResult aResult) {
+    return aResult == ProbeResult::Silent ? probe(onResult) : onResult(aResult);
   });
 }
 
+void FleetTraffic::VerifyLinks(const std::string& aExcept,
+                               int aProbes,
+                               std::function<void(bool aAreWell)> aCallback)
+{
+  const auto endpoints = shared_.endpoints.load();
+  const size_t others = endpoints ? endpoints->size() - (endpoints->contains(aExcept) ? 1 : 0) : 0;
+  if (others == 0) {
+    return aCallback(true); // There is nothing to compare with.
+  }
+  if (aProbes == 0) {
+    return aCallback(false);
+  }
+  auto other = std::next(endpoints->begin(), static_cast<int64_t>(Random() % others));
+  const auto except = endpoints->lower_bound(aExcept);
+  if (endpoints->contains(aExcept) && other->first >= except->first) {
+    ++other;
+  }
+  client_->Probe(
+    other->second.address,
+    other->second.port,
+    kProbeTimeout,
+    [this, except = aExcept, aProbes, callback = std::move(aCallback)](ProbeResult aResult) {
+      if (aResult == ProbeResult::Accepted) {
+        return callback(true);
+      }
+      VerifyLinks(except, aProbes - 1, callback);
+    });
+}
+
 bool FleetTraffic::MayLogInvalidNotice(TimePoint aNow)
 {
   if (aNow < nextInvalidNoticeLog_) {
--- a/packages/fleet/tests/lost_links_test.cpp
+++ b/packages/fleet/tests/lost_links_test.cpp
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <future>
+#include <thread>
+
 #include "serving_host.h"
 
 using namespace bg;
@@ -150,3 +153,29 @@
   fleet.Serve(0, 4);
   CHECK(outcome({ { "Relay-Upstream", "u1" }, { "Relay-Time-Left-Ms", "500" } }) == "502 no_links");
 }
+
+TEST_CASE("a relayed request is not sent again after its connection was lost")
+{
+  CutFleet fleet(3);
+  fleet.Cut(2, LinkState::Refusing); // Host 2 relays.
+  REQUIRE(fleet.Serve(0) == CutFleet::kRequests);
+
+  SUBCASE("the relaying host ends while the upstream works")
+  {
+    auto result =
+      std::async(std::launch::async, [&] { return fleet.hosts[0]->Call("POST", "slow-order"); });
+    REQUIRE(Eventually([&] { return fleet.upstreams.Executions("slow-order") == 1; }));
+    fleet.hosts[2].reset();
+    CHECK(result.get().status == 502);
+    std::this_thread::sleep_for(TestUpstreams::kSlowTime);
+    CHECK(fleet.upstreams.Executions("slow-order") == 1);
+  }
+
+  SUBCASE("the upstream is released when the caller leaves")
+  {
+    const UpstreamResult result = fleet.hosts[0]->Call("GET", "slow-look", Milliseconds(200));
+    CHECK(result.failure == UpstreamFailure::Timeout);
+    CHECK(Eventually([&] { return fleet.upstreams.Abandoned() == 1; }));
+    CHECK(fleet.upstreams.Executions("slow-look") == 1);
+  }
+}
--- a/packages/fleet/tests/serving_host.h
+++ b/packages/fleet/tests/serving_host.h
@@ -125,7 +125,20 @@
 
   ~TestUpstreams()
   {
-    loop_.Call([this] { servers_.clear(); });
+    loop_.Call([this] {
+      timers_.clear();
+      servers_.clear();
+    });
+  }
+
+  /// Requests whose id begins with "slow" take this long.
+  static constexpr Duration kSlowTime = Milliseconds(600);
+
+  /// Number of requests whose connection was closed before the response.
+  int Abandoned()
+  {
+    const std::lock_guard lock(mutex_);
+    return abandoned_;
   }
 
   int Executions(const std::string& aRequestId)
@@ -146,16 +159,35 @@
       const std::lock_guard lock(mutex_);
       ++executions_[*id];
     }
-    aReply->Send({ .status = 200,
-                   .headers = { { "Signature", "sig-" + *id }, { "Request-Id", *id } },
-                   .body = aRequest.method + " " + aRequest.target + " " +
-                           std::to_string(aRequest.body ? aRequest.body->size() : 0) });
+    if (id->starts_with("slow")) {
+      const auto timer = std::make_shared<std::unique_ptr<EventLoop::Timer>>();
+      aReply->OnCallerGone([this, timer] {
+        timer->reset();
+        const std::lock_guard lock(mutex_);
+        ++abandoned_;
+      });
+      *timer = loop_.Loop().RunAfter(
+        kSlowTime, [aReply, aRequest, id = *id] { Respond(aRequest, id, *aReply); });
+      timers_.push_back(timer);
+      return;
+    }
+    Respond(aRequest, *id, *aReply);
+  }
+
+  static void Respond(const HttpRequest& aRequest, const std::string& aId, HttpReply& aReply)
+  {
+    const size_t bytes = aRequest.body ? aRequest.body->size() : 0;
+    aReply.Send({ .status = 200,
+                  .headers = { { "Signature", "sig-" + aId }, { "Request-Id", aId } },
+                  .body = aRequest.method + " " + aRequest.target + " " + std::to_string(bytes) });
   }
 
   bg::test::LoopThread loop_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
   std::mutex mutex_;
   std::map<std::string, int> executions_;
+  int abandoned_ = 0;
+  std::vector<std::shared_ptr<std::unique_ptr<EventLoop::Timer>>> timers_;
 };
 
 /// A whole host: control thread and traffic thread.
@@ -195,15 +227,18 @@
   }
 
   /// Sends a request as a caller and waits for the response.
-  UpstreamResult Call(const std::string& aMethod, const std::string& aId)
+  /// @param aPatience Time after which the caller leaves.
+  UpstreamResult Call(const std::string& aMethod,
+                      const std::string& aId,
+                      Duration aPatience = std::chrono::seconds(5))
   {
-    return Send(init_.callerPort, aMethod, aId, { { "Request-Id", aId } });
+    return Send(init_.callerPort, aMethod, aId, { { "Request-Id", aId } }, aPatience);
   }
 
   /// Sends a request as another host does that asks this one to relay it.
   UpstreamResult CallRelay(std::vector<HttpHeader> aHeaders)
   {
-    return Send(init_.relayPort, "GET", "relayed", std::move(aHeaders));
+    return Send(init_.relayPort, "GET", "relayed", std::move(aHeaders), std::chrono::seconds(5));
   }
 
   bool IsServing() { return Call("GET", "ready-" + std::to_string(++readyCalls_)).status == 200; }
@@ -215,9 +250,11 @@
   UpstreamResult Send(uint16_t aPort,
                       const std::string& aMethod,
                       const std::string& aId,
-                      std::vector<HttpHeader> aHeaders)
+                      std::vector<HttpHeader> aHeaders,
+                      Duration aPatience)
   {
     UpstreamRequest request;
+    request.deadline = aPatience;
     request.address = init_.address;
     request.port = aPort;
     request.method = aMethod;
