--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -194,6 +194,7 @@
   ReadStore(now);
   ConnectPeers(now);
   ShareRelayPeers();
+  SaveSuspects(now);
   AskPeerForState(now);
   FetchConfiguration(now);
   if (IsReady() != isReady_) {
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -171,6 +171,8 @@
                       const std::string& aHost,
                       TimePoint aNow);
   void CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow);
+  void ReadSuspects();
+  void SaveSuspects(TimePoint aNow);
   void AddSuspectRequests(wire::View& aView, bool aAll, TimePoint aNow) const;
   /// Returns the encoded configuration if it is small enough to go along with a view; otherwise
   /// null.
@@ -282,6 +284,8 @@
   Duration membersRequestInterval_{ 0 };
   TimePoint nextSuspectsRequest_{}; ///< See CheckSuspects().
   Duration suspectsRequestInterval_ = Milliseconds(500);
+  TimePoint nextSuspectsSave_{};     ///< After a failed write.
+  bool hasReadSuspects_ = false;     ///< From the store.
   bool hasComparedSuspects_ = false; ///< With those of a peer, since the start.
   bool awaitsSuspects_ = false;      ///< A peer was asked for its suspect requests at the start.
   TimePoint nextViewRequest_{};      ///< To a peer whose change did not fit the state of this host.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -30,15 +30,6 @@
 constexpr Duration kMaxReaderAge = std::chrono::seconds(1);
 /// Time for a new connection to a peer. Messages that are sent earlier would be dropped.
 constexpr Duration kPeerConnectTime = Milliseconds(20);
-/// Views carry news of suspect requests for this long, so that a lost view does not matter. A host
-/// that receives no views for longer asks for the state, and then gets all of them.
-constexpr Duration kSuspectNewsPeriod = std::chrono::seconds(3);
-/// Suspect requests in one message; each takes some 60 bytes a crash.
-constexpr size_t kMaxSharedSuspects = 64;
-/// Limits of the interval between requests for the suspect requests of a peer that knows others.
-/// The lower one is longer than news takes to reach all hosts.
-constexpr Duration kMinSuspectsRequestInterval = Milliseconds(500);
-constexpr Duration kMaxSuspectsRequestInterval = std::chrono::seconds(32);
 /// Messages that wait for new connections.
 constexpr size_t kMaxPendingMessages = 256;
 
@@ -280,56 +271,6 @@
   }
 }
 
-void FleetControl::AddSuspectRequests(wire::View& aView, bool aAll, TimePoint aNow) const
-{
-  for (const quarantine::SuspectRequest* request :
-       slots_->Quarantine().MostSuspected(kMaxSharedSuspects)) {
-    if (aAll || aNow - request->changedAt < kSuspectNewsPeriod) {
-      *aView.add_suspects() = ToWire(*request, aNow);
-    }
-  }
-  aView.set_suspects_digest(slots_->Quarantine().Digest());
-}
-
-void FleetControl::HandleSuspects(
-  const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
-  const std::string& aHost,
-  TimePoint aNow)
-{
-  std::vector<quarantine::SuspectRequest> requests;
-  for (const wire::SuspectRequest& request : aRequests) {
-    requests.push_back(FromWire(request, aNow));
-  }
-  hasNews_ = slots_->HandleSuspectRequests(requests, aHost) || hasNews_;
-}
-
-/// Exchanges the suspect requests with the sender of a view that knows others: a host that has
-/// started or was cut off has missed the views with the news, and so have the others its own.
-void FleetControl::CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow)
-{
-  const bool isFirstView = !std::exchange(hasComparedSuspects_, true);
-  if (aView.suspects_digest() == slots_->Quarantine().Digest()) {
-    suspectsRequestInterval_ = kMinSuspectsRequestInterval;
-    nextSuspectsRequest_ = aNow + kMinSuspectsRequestInterval;
-    awaitsSuspects_ = false;
-    return;
-  }
-  if (!isFirstView && aNow < nextSuspectsRequest_) {
-    return;
-  }
-  awaitsSuspects_ = isFirstView;
-  nextSuspectsRequest_ = aNow + suspectsRequestInterval_ + Jitter(suspectsRequestInterval_);
-  suspectsRequestInterval_ = std::min(suspectsRequestInterval_ * 2, kMaxSuspectsRequestInterval);
-  wire::Envelope envelope;
-  wire::Hello& hello = *envelope.mutable_hello();
-  hello.set_wants_suspects(true);
-  for (const quarantine::SuspectRequest* request :
-       slots_->Quarantine().MostSuspected(kMaxSharedSuspects)) {
-    *hello.add_suspects() = ToWire(*request, aNow);
-  }
-  Send(aHost, std::move(envelope));
-}
-
 void FleetControl::ShareView(const RegistryChange& aChange,
                              bool aWithConfiguration,
                              std::span<const std::string> aJoined)
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -103,6 +103,9 @@
   if (!isOrderKnown || aNow < next) {
     return;
   }
+  if (isFirstReader && !hasReadSuspects_) {
+    ReadSuspects();
+  }
   if (revision_ == 0) {
     ReadConfiguration();
   }
--- a/packages/fleet/src/relay_p.h
+++ b/packages/fleet/src/relay_p.h
@@ -57,7 +57,7 @@
   void BeginStop() { isStopping_ = true; }
 
 private:
-  void Handle(HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply);
+  void Handle(const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply);
 
   FleetTraffic& traffic_;
   bool isStopping_ = false;
--- a/packages/fleet/src/relay_server.cpp
+++ b/packages/fleet/src/relay_server.cpp
@@ -62,7 +62,7 @@
   RelaySession(const RelaySession&) = delete;
   RelaySession& operator=(const RelaySession&) = delete;
 
-  void Start(HttpRequest aRequest, Duration aTimeLeft)
+  void Start(const HttpRequest& aRequest, Duration aTimeLeft)
   {
     reply_->OnCallerGone([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -155,8 +155,8 @@
   init.port = aInit.relayPort;
   init.maxBodyBytes = kMaxBodyBytesLimit;
   init.budget = std::move(aBudget);
-  init.handler = [this](HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply) {
-    Handle(std::move(aRequest), aReply);
+  init.handler = [this](const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+    Handle(aRequest, aReply);
   };
   auto server = CreateHttpServer(std::move(init));
   if (!server) {
@@ -166,7 +166,7 @@
   return std::nullopt;
 }
 
-void RelayServer::Handle(HttpRequest aRequest, const std::shared_ptr<HttpReply>& aReply)
+void RelayServer::Handle(const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply)
 {
   const std::string* id = FindHeader(aRequest.headers, kRelayUpstreamHeader);
   const std::string* timeLeft = FindHeader(aRequest.headers, kRelayTimeLeftHeader);
@@ -194,7 +194,7 @@
       traffic_, *aReply, RelayOutcome::Busy, "the upstream wants no requests of this host now");
   }
   std::make_shared<RelaySession>(traffic_, upstream->second, aReply)
-    ->Start(std::move(aRequest), Milliseconds(*milliseconds));
+    ->Start(aRequest, Milliseconds(*milliseconds));
 }
 
 } // namespace bg::fleet::detail
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <set>
 
-#include "request_fingerprint_p.h"
-
 namespace bg::fleet::detail {
 
 namespace {
@@ -588,11 +586,8 @@
 {
   const TimePoint now = init_.now();
   trials_.Release({ selfKey_, aSequence }, now);
-  if (aReport.survivor != 0 && quarantine_.RecordSurvival(aReport.survivor, now)) {
-    Log(LogLevel::Info,
-        "request_cleared",
-        { { "fingerprint", FormatFingerprint(aReport.survivor) }, { "peer", Self() } });
-    NotifyNews();
+  if (aReport.survivor != 0) {
+    RecordSurvival(aReport.survivor, now);
   }
   if (auto node = pendingRequests_.extract(aSequence)) {
     const PendingRequest& pending = node.mapped();
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -151,6 +152,9 @@
   bool HandleSuspectRequests(std::span<const quarantine::SuspectRequest> aRequests,
                              std::string_view aPeer);
   const quarantine::RequestQuarantine& Quarantine() const { return quarantine_; }
+  /// Fingerprints of requests that this host has seen quarantined or cleared since they were last
+  /// written to the store.
+  std::set<uint64_t>& UnsavedSuspects() { return unsavedSuspects_; }
   /// Number of upstreams with a limit in force, by service, as far as this host knows them.
   std::map<std::string, size_t> LimitedUpstreams() const;
   std::string Describe() const; ///< One "shard=... " line for each shard, for /state.
@@ -234,6 +238,7 @@
   /// Refuses a request that is on trial elsewhere. @return False if it was refused.
   bool StartTrial(uint64_t aSequence, TimePoint aNow);
   void NotifyNews();
+  void RecordSurvival(uint64_t aFingerprint, TimePoint aNow);
   void LogCrash(uint64_t aFingerprint,
                 const quarantine::Crash& aCrash,
                 std::string_view aRequestId,
@@ -300,6 +305,7 @@
   std::map<std::string, KnownLimit, std::less<>> limits_;        ///< By upstream.
   UpstreamNotices notices_;
   quarantine::RequestQuarantine quarantine_;
+  std::set<uint64_t> unsavedSuspects_;
   quarantine::TrialLocks trials_; ///< Of the shards that this host allocates.
   TimePoint nextSuspectsShare_{};
   uint64_t roundRobin_ = 0; ///< Position for SelectShard().
--- a/packages/fleet/src/slot_quarantine.cpp
+++ b/packages/fleet/src/slot_quarantine.cpp
@@ -75,10 +75,31 @@
                              std::string_view aTarget)
 {
   aCrash.source = Self();
-  if (quarantine_.RecordCrash(aFingerprint, aCrash, init_.now())) {
-    LogCrash(aFingerprint, aCrash, aRequestId, aTarget);
-    NotifyNews();
+  const TimePoint now = init_.now();
+  if (!quarantine_.RecordCrash(aFingerprint, aCrash, now)) {
+    return;
+  }
+  LogCrash(aFingerprint, aCrash, aRequestId, aTarget);
+  if (quarantine_.Check(aFingerprint, now).decision == Decision::Reject) {
+    unsavedSuspects_.insert(aFingerprint);
+  }
+  NotifyNews();
+}
+
+void SlotClient::RecordSurvival(uint64_t aFingerprint, TimePoint aNow)
+{
+  const quarantine::SuspectRequest* request = quarantine_.Find(aFingerprint);
+  const size_t crashes = request == nullptr ? 0 : request->CountSequentialCrashes();
+  if (!quarantine_.RecordSurvival(aFingerprint, aNow)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "request_cleared",
+      { { "fingerprint", FormatFingerprint(aFingerprint) }, { "peer", Self() } });
+  if (crashes >= quarantine::RequestQuarantine::kQuarantineCrashes) {
+    unsavedSuspects_.insert(aFingerprint);
   }
+  NotifyNews();
 }
 
 bool SlotClient::HandleSuspectRequests(std::span<const quarantine::SuspectRequest> aRequests,
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -65,7 +65,7 @@
   server_ = std::move(*server);
   if (init_.relayPort != 0) {
     relayServer_ = std::make_unique<RelayServer>(*this);
-    if (const auto error = relayServer_->Start(init_, loop_, budget)) {
+    if (auto error = relayServer_->Start(init_, loop_, budget)) {
       return error;
     }
   }
--- a/packages/fleet/tests/lost_links_test.cpp
+++ b/packages/fleet/tests/lost_links_test.cpp
@@ -52,8 +52,7 @@
       if (result.status == 200) {
         ++served;
         CHECK(*FindHeader(result.headers, "Signature") == "sig-" + id);
-        CHECK(result.body ==
-              method + " /" + method + "/" + id + (method == "GET" ? " 0" : " 2000"));
+        CHECK(result.body == TestUpstreams::Body(method, id));
         CHECK(executions >= 1);
       }
       if (result.status == 503) {
--- a/packages/fleet/tests/serving_host.h
+++ b/packages/fleet/tests/serving_host.h
@@ -131,6 +131,14 @@
     });
   }
 
+  /// Body of the response to a request of ServingHost::Call().
+  static std::string Body(const std::string& aMethod, const std::string& aId)
+  {
+    std::string body = aMethod;
+    body.append(" /").append(aMethod).append("/").append(aId);
+    return body.append(aMethod == "POST" ? " 2000" : " 0");
+  }
+
   /// Requests whose id begins with "slow" take this long.
   static constexpr Duration kSlowTime = Milliseconds(600);
 
--- a/packages/fleet/tests/suspect_requests_test.cpp
+++ b/packages/fleet/tests/suspect_requests_test.cpp
@@ -45,4 +45,17 @@
     REQUIRE(Eventually([&] { return two->shared.isStateConfirmed && two->Revision() == 1; }));
     CHECK(rejects(*two));
   }
+
+  SUBCASE("all hosts know it after a stop of all at once")
+  {
+    two.reset();
+    auto first = std::make_unique<ControlHost>(tables, "three", 7, FreePort());
+    REQUIRE(Eventually([&] { return first->GrantsSlotOf("one"); }));
+    first->ReportCrashes(kRequest, 3);
+    REQUIRE(Eventually([&] { return tables.Read("suspects").rows.size() == 1; }));
+    first.reset();
+    ControlHost again(tables, "four", 8, FreePort());
+    REQUIRE(Eventually([&] { return again.Revision() == 1; }));
+    CHECK(Eventually([&] { return rejects(again); }));
+  }
 }
