Fleet: look for a relay only while upstreams are avoided

Each request for a slot looked through all peers for one that can relay, which is needed only to decide which upstreams to avoid. With 2,500 hosts that was a list of 2,500 for each request.

--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -231,6 +231,9 @@
   const auto isOver = [aNow](const auto& aEntry) { return aEntry.second <= aNow; };
   std::erase_if(unreachableUntil_, isOver);
   std::erase_if(downUntil_, isOver);
+  if (unreachableUntil_.empty() && downUntil_.empty()) {
+    return {};
+  }
   const bool mayRelay = SelectRelay({}, aNow) != nullptr;
   std::vector<std::string> upstreams;
   for (const auto& [upstream, until] : mayRelay ? downUntil_ : unreachableUntil_) {
