--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -27,6 +27,9 @@
 /// writes per second. They read the members after it.
 constexpr Duration kRegisterSpread = Milliseconds(2500);
 
+/// Table of the hosts, and of what they have to know after a stop of all.
+constexpr std::string_view kMembersTable = "members";
+
 /// Hosts of a lower order than this are connected to the hosts that a reader sends to, and share
 /// their state even if the store does not respond.
 constexpr size_t kStandbyReaders = 8;
@@ -171,7 +174,9 @@
                       const std::string& aHost,
                       TimePoint aNow);
   void CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow);
-  void ReadSuspects();
+  /// Reads a request that was quarantined before all hosts stopped at once. @return False if the
+  /// row is that of a member.
+  bool LoadSuspect(const StoreRow& aRow);
   void SaveSuspects(TimePoint aNow);
   void AddSuspectRequests(wire::View& aView, bool aAll, TimePoint aNow) const;
   /// Returns the encoded configuration if it is small enough to go along with a view; otherwise
@@ -285,7 +290,6 @@
   TimePoint nextSuspectsRequest_{}; ///< See CheckSuspects().
   Duration suspectsRequestInterval_ = Milliseconds(500);
   TimePoint nextSuspectsSave_{};     ///< After a failed write.
-  bool hasReadSuspects_ = false;     ///< From the store.
   bool hasComparedSuspects_ = false; ///< With those of a peer, since the start.
   bool awaitsSuspects_ = false;      ///< A peer was asked for its suspect requests at the start.
   TimePoint nextViewRequest_{};      ///< To a peer whose change did not fit the state of this host.
--- a/packages/fleet/src/control_quarantine.cpp
+++ b/packages/fleet/src/control_quarantine.cpp
@@ -16,8 +16,9 @@
 /// The lower one is longer than news takes to reach all hosts.
 constexpr Duration kMinSuspectsRequestInterval = Milliseconds(500);
 constexpr Duration kMaxSuspectsRequestInterval = std::chrono::seconds(32);
-/// Rows of quarantined requests in the store. More of them share rows; the later one is kept.
-constexpr std::string_view kSuspectsTable = "suspects";
+/// Rows of quarantined requests stand in the table of the members, which each host reads when it
+/// starts. There are so many; of requests that share a row, the later one is kept.
+constexpr std::string_view kSuspectKeyPrefix = "suspect#";
 constexpr uint64_t kSuspectRows = 256;
 constexpr Duration kSuspectsDeadline = Milliseconds(1500);
 /// Delay after a failed write.
@@ -75,29 +76,20 @@
   Send(aHost, std::move(envelope));
 }
 
-/// Reads the requests that were quarantined before all hosts stopped at once.
-void FleetControl::ReadSuspects()
+bool FleetControl::LoadSuspect(const StoreRow& aRow)
 {
-  hasReadSuspects_ = true;
-  platform_.store->Read(kSuspectsTable, kSuspectsDeadline, [this](const Result<StoreRows>& aRows) {
-    if (!aRows) {
-      Log(LogLevel::Warning,
-          "suspects_read_failed",
-          { { "step", aRows.Failure().step }, { "error", aRows.Failure().code.message() } });
-      return;
-    }
-    for (const StoreRow& row : aRows->rows) {
-      wire::StoredSuspect stored;
-      if (!stored.ParseFromString(row.value)) {
-        Log(LogLevel::Warning, "suspect_unreadable", { { "key", row.key } });
-        continue;
-      }
-      const int64_t age = std::max<int64_t>(0, WallClockMs() - stored.saved_at_ms());
-      const quarantine::SuspectRequest request =
-        FromWire(stored.request(), Now() - Milliseconds(age));
-      hasNews_ = slots_->HandleSuspectRequests({ &request, 1 }, "store") || hasNews_;
-    }
-  });
+  if (!aRow.key.starts_with(kSuspectKeyPrefix)) {
+    return false;
+  }
+  wire::StoredSuspect stored;
+  if (!stored.ParseFromString(aRow.value)) {
+    Log(LogLevel::Warning, "suspect_unreadable", { { "key", aRow.key } });
+    return true;
+  }
+  const int64_t age = std::max<int64_t>(0, WallClockMs() - stored.saved_at_ms());
+  const quarantine::SuspectRequest request = FromWire(stored.request(), Now() - Milliseconds(age));
+  hasNews_ = slots_->HandleSuspectRequests({ &request, 1 }, "store") || hasNews_;
+  return true;
 }
 
 /// Writes the requests that this host has seen quarantined or cleared.
@@ -115,8 +107,8 @@
     *stored.mutable_request() = ToWire(*request, aNow);
     stored.set_saved_at_ms(WallClockMs());
     platform_.store->Put(
-      kSuspectsTable,
-      fmt::format("{:03}", fingerprint % kSuspectRows),
+      kMembersTable,
+      fmt::format("{}{:03}", kSuspectKeyPrefix, fingerprint % kSuspectRows),
       stored.SerializeAsString(),
       kSuspectsDeadline,
       [this, fingerprint](const Result<StorePosition>& aResult) {
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -33,7 +33,6 @@
 /// Reads of the upstreams that are dropped are logged no more often than this.
 constexpr Duration kDroppedReadLogInterval = std::chrono::seconds(1);
 /// Table in which the hosts of the fleet register.
-constexpr std::string_view kMembersTable = "members";
 
 std::string SerializeMember(const Member& aMember)
 {
@@ -103,9 +102,6 @@
   if (!isOrderKnown || aNow < next) {
     return;
   }
-  if (isFirstReader && !hasReadSuspects_) {
-    ReadSuspects();
-  }
   if (revision_ == 0) {
     ReadConfiguration();
   }
@@ -233,6 +229,9 @@
     membersReadAt_ = Now();
     membersPosition_ = aRows->position;
     for (const StoreRow& row : aRows->rows) {
+      if (LoadSuspect(row)) {
+        continue;
+      }
       wire::Member member;
       if (!member.ParseFromString(row.value) || member.host() != row.key) {
         Log(LogLevel::Warning, "member_unreadable", { { "key", row.key } });
@@ -256,31 +255,34 @@
     return;
   }
   nextMemberChangesRead_ = now + kMemberChangesInterval;
-  platform_.store->Watch(
-    kMembersTable,
-    membersPosition_,
-    Duration(0),
-    kStoreDeadline,
-    [this](const Result<StoreRows>& aRows) {
-      if (!aRows) {
-        // The reads of the upstreams report an unavailable store.
-        const bool isHistoryGone = aRows.Failure().code == make_error_code(Errc::NotFound);
-        nextMembersRead_ = isHistoryGone ? Now() : nextMembersRead_;
-        return;
-      }
-      membersPosition_ = std::max(membersPosition_, aRows->position);
-      std::vector<std::string> joined;
-      for (const StoreRow& row : aRows->rows) {
-        wire::Member member;
-        if (!row.isDeleted && member.ParseFromString(row.value) && member.host() == row.key) {
-          AddMember(FromWire(member));
-          joined.push_back(row.key);
-        }
-      }
-      if (!joined.empty()) {
-        ShareView({}, false, joined);
-      }
-    });
+  platform_.store->Watch(kMembersTable,
+                         membersPosition_,
+                         Duration(0),
+                         kStoreDeadline,
+                         [this](const Result<StoreRows>& aRows) {
+                           if (!aRows) {
+                             // The reads of the upstreams report an unavailable store.
+                             const bool isHistoryGone =
+                               aRows.Failure().code == make_error_code(Errc::NotFound);
+                             nextMembersRead_ = isHistoryGone ? Now() : nextMembersRead_;
+                             return;
+                           }
+                           membersPosition_ = std::max(membersPosition_, aRows->position);
+                           std::vector<std::string> joined;
+                           for (const StoreRow& row : aRows->rows) {
+                             if (row.isDeleted || LoadSuspect(row)) {
+                               continue;
+                             }
+                             wire::Member member;
+                             if (member.ParseFromString(row.value) && member.host() == row.key) {
+                               AddMember(FromWire(member));
+                               joined.push_back(row.key);
+                             }
+                           }
+                           if (!joined.empty()) {
+                             ShareView({}, false, joined);
+                           }
+                         });
 }
 
 void FleetControl::ReadUpstreams()
--- a/packages/fleet/tests/suspect_requests_test.cpp
+++ b/packages/fleet/tests/suspect_requests_test.cpp
@@ -52,7 +52,12 @@
     auto first = std::make_unique<ControlHost>(tables, "three", 7, FreePort());
     REQUIRE(Eventually([&] { return first->GrantsSlotOf("one"); }));
     first->ReportCrashes(kRequest, 3);
-    REQUIRE(Eventually([&] { return tables.Read("suspects").rows.size() == 1; }));
+    REQUIRE(Eventually([&] {
+      const auto rows = tables.Read("members").rows;
+      return std::any_of(rows.begin(), rows.end(), [](const auto& aRow) {
+        return aRow.key.starts_with("suspect#");
+      });
+    }));
     first.reset();
     ControlHost again(tables, "four", 8, FreePort());
     REQUIRE(Eventually([&] { return again.Revision() == 1; }));
