--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -170,7 +170,8 @@
                 const wire::Document* aConfiguration,
                 std::span<const std::string> aJoined = {},
                 bool aWithAllSuspects = false);
-  void HandleSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
+  /// @return True if any request or crash was not known.
+  bool HandleSuspects(const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
                       const std::string& aHost,
                       TimePoint aNow);
   void CheckSuspects(const wire::View& aView, const std::string& aHost, TimePoint aNow);
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -326,7 +326,7 @@
   }
   if (hello.wants_suspects()) {
     const std::string& host = aMessage.sender().host();
-    HandleSuspects(hello.suspects(), host, Now());
+    hasNews_ = HandleSuspects(hello.suspects(), host, Now()) || hasNews_;
     const RegistryChange none;
     return registry_.HasState() ? SendView({ &host, 1 }, &none, nullptr, {}, true) : void();
   }
@@ -448,10 +448,8 @@
     leaving.push_back(FromWire(upstream, now));
   }
   const bool hasNewLeaving = slots_->HandleLeaving(leaving);
-  const bool hadNews = std::exchange(hasNews_, false);
-  HandleSuspects(view.suspects(), host, now);
+  const bool hasNewSuspects = HandleSuspects(view.suspects(), host, now);
   CheckSuspects(view, host, now);
-  const bool hasNewSuspects = std::exchange(hasNews_, hadNews);
   const ConfigurationId configuration = FromWire(view.configuration_id());
   const bool isActivated = ActivateFromPeer(configuration, view.configuration(), host);
   if (IsWanted(configuration)) {
--- a/packages/fleet/src/control_quarantine.cpp
+++ b/packages/fleet/src/control_quarantine.cpp
@@ -37,7 +37,7 @@
   aView.set_suspects_digest(slots_->Quarantine().Digest());
 }
 
-void FleetControl::HandleSuspects(
+bool FleetControl::HandleSuspects(
   const google::protobuf::RepeatedPtrField<wire::SuspectRequest>& aRequests,
   const std::string& aHost,
   TimePoint aNow)
@@ -46,7 +46,7 @@
   for (const wire::SuspectRequest& request : aRequests) {
     requests.push_back(FromWire(request, aNow));
   }
-  hasNews_ = slots_->HandleSuspectRequests(requests, aHost) || hasNews_;
+  return slots_->HandleSuspectRequests(requests, aHost);
 }
 
 /// Exchanges the suspect requests with the sender of a view that knows others: a host that has
