--- a/packages/quarantine/src/request_quarantine.cpp
+++ b/packages/quarantine/src/request_quarantine.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Time from a crash to the next trial: the first entry after the crash that began the quarantine,
-/// the others after failed trials. A day may take three upstreams more, of which two are trials.
+/// Time from the last crash to the next trial, by the number of failed trials: two trials a day.
 constexpr std::array<Duration, 3> kTrialDelays = { std::chrono::minutes(1),
                                                    std::chrono::minutes(10),
                                                    std::chrono::hours(24) };
