Fleet: an answer of an allocator is for one process of a host (ROUTE)

Callers saw uploads on the route of one service answered 200 by an upstream of another one, after a proxy was killed and started again at once: the upload was lost, and the other service ran work that nobody had sent to it.

Cause: leases are kept by process, but answers were sent to the name of the host and held a sequence number only, which began at 0 in each process. The answer to a queued request of the killed process was matched to whichever request of its successor had the same number. Nothing between grant and send compared the services; the expected upstream that goes with a request names the granted one.

Ruled out: address reuse (no upstream of the case ends), leases of both processes under one key (HostKey() hashes the incarnation), a stale route table (one configuration).

Answers now name the process that they are for; sequence numbers begin at a random value, so that answers of hosts of an older version do not match either; an allocator that hears of a new process drops the queued requests of the one before, which would have been granted slots that nobody uses; a grant of an upstream of another service is not used, whatever its origin.

--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -335,6 +335,7 @@
   }
   if (hello.known().empty()) { // The hello of a host to its allocators.
     members_->RecordClient(aMessage.sender().host(), Now());
+    slots_->RecordProcess(aMessage.sender());
   }
 }
 
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -44,6 +44,8 @@
   FleetShared& Shared() { return shared_; }
   FleetControl& Control() { return control_; }
   FleetMetrics& Metrics() { return metrics_; }
+  /// Number of a request for a slot; not the same as that of an earlier process of this host, to
+  /// which an allocator may still answer.
   uint64_t NextSequence() { return ++sequence_; }
   uint64_t Random();
   /// Starts the session when the configuration has been confirmed, at the latest after a timeout.
@@ -106,7 +108,7 @@
   std::thread thread_;
   std::atomic<size_t> active_{ 0 };
   size_t relayed_ = 0;
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
   uint64_t random_;
   /// Upstreams to which this host has failed to connect, and those that no host reaches; until when
   /// they are avoided.
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -47,9 +47,7 @@
 
 uint64_t SlotClient::HostKey(const wire::Member& aMember)
 {
-  const uint64_t key = Hash64(aMember.host(), aMember.incarnation());
-  hostNames_.insert_or_assign(key, aMember.host());
-  return key;
+  return Hash64(aMember.host(), aMember.incarnation());
 }
 
 SlotClient::Shard& SlotClient::GetShard(std::string_view aKey)
@@ -532,6 +530,17 @@
     // The allocator knows less than this host, or the other way round.
     return RejectGrant(aSequence, aUpstream, false);
   }
+  if (upstream->service != pending.query.service) {
+    // The upstream would run the request, because it is the one that the request names.
+    Log(LogLevel::Warning,
+        "grant_of_other_service",
+        { { "request_id", pending.query.requestId },
+          { "upstream", aUpstream },
+          { "service", upstream->service },
+          { "expected", pending.query.service },
+          { "peer", pending.allocatorHost } });
+    return RejectGrant(aSequence, aUpstream, false);
+  }
   if (notices_.IsPaused(*upstream, now)) {
     return RejectGrant(aSequence, aUpstream, true);
   }
@@ -677,7 +686,7 @@
     case wire::Envelope::kSlotRequest:
       return HandleRequest(aMessage);
     case wire::Envelope::kSlotAnswer:
-      return HandleAnswer(aMessage.slot_answer());
+      return HandleAnswer(aMessage);
     case wire::Envelope::kSlotRelease:
       return HandleRelease(aMessage);
     case wire::Envelope::kSlotHolding:
@@ -691,21 +700,31 @@
   }
 }
 
-void SlotClient::HandleAnswer(const wire::SlotAnswer& aAnswer)
+void SlotClient::HandleAnswer(const wire::Envelope& aMessage)
 {
-  HandleLimits(aAnswer.limits());
-  const uint64_t sequence = aAnswer.sequence();
+  const wire::SlotAnswer& answer = aMessage.slot_answer();
+  HandleLimits(answer.limits());
+  const uint64_t sequence = answer.sequence();
+  const uint64_t receiver = answer.receiver_incarnation();
+  if (receiver != 0 && receiver != init_.members->Self().incarnation) {
+    Log(LogLevel::Info,
+        "answer_to_earlier_process",
+        { { "peer", aMessage.sender().host() },
+          { "upstream", answer.upstream() },
+          { "incarnation", receiver } });
+    return;
+  }
   const auto found = pendingRequests_.find(sequence);
   if (found == pendingRequests_.end()) {
     return;
   }
   PendingRequest& pending = found->second;
-  GetShard(pending.shard).queueLength = aAnswer.waiting();
-  switch (aAnswer.kind()) {
+  GetShard(pending.shard).queueLength = answer.waiting();
+  switch (answer.kind()) {
     case wire::SlotAnswer::GRANTED:
-      return OnGranted(sequence, aAnswer.upstream());
+      return OnGranted(sequence, answer.upstream());
     case wire::SlotAnswer::REFUSED:
-      return OnRefused(sequence, aAnswer.reason(), Milliseconds(aAnswer.retry_after_ms()));
+      return OnRefused(sequence, answer.reason(), Milliseconds(answer.retry_after_ms()));
     default:
       pending.isQueued = true;
       pending.timer =
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -120,6 +120,10 @@
   void Release(uint64_t aSequence, const SlotReport& aReport);
 
   void HandleMessage(const wire::Envelope& aMessage);
+  /// Records which process of a host requests slots, and drops the queued requests of an earlier
+  /// one. Its leases stay until they expire, because upstreams may still run its requests.
+  /// @return Key of the process in leases.
+  uint64_t RecordProcess(const wire::Member& aMember);
   /// Applies the upstreams of the registry to the shards. Must be called when the registry has
   /// changed.
   void UpdateUpstreams(TimePoint aNow);
@@ -258,7 +262,7 @@
   void OnAllocatorGrant(std::string_view aShard, const placement::Grant& aGrant);
   void OnAllocatorRefusal(const placement::Refusal& aRefusal);
   void HandleRequest(const wire::Envelope& aMessage);
-  void HandleAnswer(const wire::SlotAnswer& aAnswer);
+  void HandleAnswer(const wire::Envelope& aMessage);
   void HandleRelease(const wire::Envelope& aMessage);
   void HandleHolding(const wire::Envelope& aMessage);
   void HandleSuspects(const wire::Suspects& aSuspects);
@@ -288,8 +292,18 @@
   void HandleLimits(const wire::Limits& aMessage);
   static void LogSuspects(std::string_view aKey, Shard& aShard);
   const std::string& Self() const { return init_.members->Self().host; }
-  /// Returns the key of a host's incarnation in leases and records the name of the host.
-  uint64_t HostKey(const wire::Member& aMember);
+  /// A process of a host, to which the requests in an allocator belong.
+  struct HostProcess
+  {
+    std::string host;
+    uint64_t incarnation = 0;
+  };
+  /// Key of a process in leases.
+  static uint64_t HostKey(const wire::Member& aMember);
+  /// Starts an answer to a request of another host.
+  wire::Envelope MakeAnswer(const placement::LeaseId& aLease, wire::SlotAnswer::Kind aKind) const;
+  /// Sends an answer to the host of a lease, unless that has been replaced by another process.
+  void SendAnswer(const placement::LeaseId& aLease, wire::Envelope aAnswer);
 
   SlotClientInit init_;
   uint64_t selfKey_;
@@ -300,7 +314,8 @@
   std::unordered_map<std::string, placement::RetryWindow> localRetryBudgets_;
   std::unordered_map<uint64_t, PendingRequest> pendingRequests_;
   std::unordered_map<uint64_t, HeldSlot> heldSlots_;
-  std::unordered_map<uint64_t, std::string> hostNames_;          ///< By HostKey().
+  std::unordered_map<uint64_t, HostProcess> processes_;          ///< By HostKey().
+  std::map<std::string, uint64_t, std::less<>> processKeys_;     ///< HostKey() by host.
   std::map<std::string, TimePoint, std::less<>> sharedSuspects_; ///< Expiry by upstream.
   std::map<std::string, KnownLimit, std::less<>> limits_;        ///< By upstream.
   UpstreamNotices notices_;
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -242,13 +242,11 @@
   if (aGrant.lease.host == selfKey_) {
     return OnGranted(aGrant.lease.sequence, aGrant.upstream);
   }
-  wire::Envelope envelope;
+  wire::Envelope envelope = MakeAnswer(aGrant.lease, wire::SlotAnswer::GRANTED);
   wire::SlotAnswer& answer = *envelope.mutable_slot_answer();
-  answer.set_sequence(aGrant.lease.sequence);
-  answer.set_kind(wire::SlotAnswer::GRANTED);
   answer.set_upstream(aGrant.upstream);
   AddLimits(aShard, aGrant.lease.host, answer);
-  init_.send(hostNames_[aGrant.lease.host], std::move(envelope));
+  SendAnswer(aGrant.lease, std::move(envelope));
 }
 
 void SlotClient::OnAllocatorRefusal(const placement::Refusal& aRefusal)
@@ -256,13 +254,47 @@
   if (aRefusal.lease.host == selfKey_) {
     return OnRefused(aRefusal.lease.sequence, std::string(aRefusal.reason), aRefusal.retryAfter);
   }
-  wire::Envelope envelope;
+  wire::Envelope envelope = MakeAnswer(aRefusal.lease, wire::SlotAnswer::REFUSED);
   wire::SlotAnswer& answer = *envelope.mutable_slot_answer();
-  answer.set_sequence(aRefusal.lease.sequence);
-  answer.set_kind(wire::SlotAnswer::REFUSED);
   answer.set_reason(std::string(aRefusal.reason));
   answer.set_retry_after_ms(ToWireMs(aRefusal.retryAfter));
-  init_.send(hostNames_[aRefusal.lease.host], std::move(envelope));
+  SendAnswer(aRefusal.lease, std::move(envelope));
+}
+
+wire::Envelope SlotClient::MakeAnswer(const placement::LeaseId& aLease,
+                                      wire::SlotAnswer::Kind aKind) const
+{
+  wire::Envelope envelope;
+  wire::SlotAnswer& answer = *envelope.mutable_slot_answer();
+  answer.set_sequence(aLease.sequence);
+  answer.set_kind(aKind);
+  if (const auto process = processes_.find(aLease.host); process != processes_.end()) {
+    answer.set_receiver_incarnation(process->second.incarnation);
+  }
+  return envelope;
+}
+
+void SlotClient::SendAnswer(const placement::LeaseId& aLease, wire::Envelope aAnswer)
+{
+  if (const auto process = processes_.find(aLease.host); process != processes_.end()) {
+    init_.send(process->second.host, std::move(aAnswer));
+  }
+}
+
+uint64_t SlotClient::RecordProcess(const wire::Member& aMember)
+{
+  const uint64_t key = HostKey(aMember);
+  const auto [known, isNew] = processKeys_.try_emplace(aMember.host(), key);
+  if (!isNew && known->second != key) {
+    const uint64_t earlier = std::exchange(known->second, key);
+    for (auto& [name, shard] : shards_) {
+      shard.allocator->DropQueued(earlier);
+      shard.limitsSentAt.erase(earlier);
+    }
+    processes_.erase(earlier);
+  }
+  processes_.insert_or_assign(key, HostProcess{ aMember.host(), aMember.incarnation() });
+  return key;
 }
 
 void SlotClient::HandleRequest(const wire::Envelope& aMessage)
@@ -273,7 +305,7 @@
     return; // A refusal for lack of upstreams would be wrong. The sender asks the next allocator.
   }
   placement::SlotRequest request;
-  request.lease = { HostKey(aMessage.sender()), message.sequence() };
+  request.lease = { RecordProcess(aMessage.sender()), message.sequence() };
   request.failureDomain = aMessage.sender().failure_domain();
   request.idempotent = message.idempotent();
   request.isRetry = message.repeat();
@@ -299,12 +331,9 @@
   if (shard.allocator->Request(request, now)) {
     return;
   }
-  wire::Envelope envelope;
-  wire::SlotAnswer& answer = *envelope.mutable_slot_answer();
-  answer.set_sequence(message.sequence());
-  answer.set_kind(wire::SlotAnswer::QUEUED);
-  answer.set_waiting(shard.allocator->Stats().waiting);
-  init_.send(aMessage.sender().host(), std::move(envelope));
+  wire::Envelope envelope = MakeAnswer(request.lease, wire::SlotAnswer::QUEUED);
+  envelope.mutable_slot_answer()->set_waiting(shard.allocator->Stats().waiting);
+  SendAnswer(request.lease, std::move(envelope));
 }
 
 void SlotClient::HandleRelease(const wire::Envelope& aMessage)
--- a/packages/fleet/src/traffic.cpp
+++ b/packages/fleet/src/traffic.cpp
@@ -33,6 +33,7 @@
   , shared_(aShared)
   , control_(aControl)
   , metrics_(aMetrics)
+  , sequence_(Hash64(RandomToken()))
   , random_(Hash64(RandomToken()) | 1)
   , relays_(init_.failureDomain)
 {
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -21,6 +21,7 @@
     std::unique_ptr<SlotClient> slots;
     std::map<uint64_t, SlotResult> results;
     uint64_t sequence = 0;
+    uint64_t incarnation = 1;
   };
 
   explicit SlotFleet(size_t aHosts, size_t aUpstreams = 4, uint32_t aSlots = 1)
@@ -62,6 +63,16 @@
     ReadUpstreams(hosts.at(aName));
   }
 
+  /// Replaces a host by a new process, which numbers its requests from the start.
+  void RestartProcess(const std::string& aName)
+  {
+    const uint64_t incarnation = hosts.at(aName).incarnation + 1;
+    hosts.erase(aName);
+    AddHost(aName, incarnation);
+    AddMembers(hosts.at(aName));
+    ReadUpstreams(hosts.at(aName));
+  }
+
   std::string AllocatorHost()
   {
     return hosts.begin()->second.members->Allocators("desk#0", 1, now).front();
@@ -78,12 +89,14 @@
     return "";
   }
 
-  uint64_t Acquire(const std::string& aHost, bool aIdempotent = false)
+  uint64_t Acquire(const std::string& aHost,
+                   bool aIdempotent = false,
+                   const std::string& aService = "desk")
   {
     Host& host = hosts.at(aHost);
     const uint64_t sequence = ++host.sequence;
     SlotQuery query;
-    query.service = "desk";
+    query.service = aService;
     query.idempotent = aIdempotent;
     query.receivedAt = now;
     query.deadline = now + std::chrono::seconds(2);
@@ -174,14 +187,15 @@
     aHost.slots->UpdateUpstreams(now);
   }
 
-  void AddHost(const std::string& aName)
+  void AddHost(const std::string& aName, uint64_t aIncarnation = 1)
   {
     Host& host = hosts[aName];
     const uint64_t sequence = host.sequence;
     host = Host{};
     host.sequence = sequence;
-    host.members =
-      std::make_unique<Members>(MembersInit{ .self = { aName, "10.0.0.1", 7000, "a", 1, 100 } });
+    host.incarnation = aIncarnation;
+    host.members = std::make_unique<Members>(
+      MembersInit{ .self = { aName, "10.0.0.1", 7000, "a", aIncarnation, 100 } });
     host.registry = std::make_unique<Registry>();
     SlotClientInit init;
     init.members = host.members.get();
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -317,6 +317,10 @@
   /// @param aLatency Time from sending the request to its response; 0 when unknown.
   void Release(LeaseId aLease, Outcome aOutcome, Duration aLatency, TimePoint aNow);
 
+  /// Removes the queued requests of a process that is gone. Its leases stay until they expire.
+  /// @param aHost See LeaseId::host.
+  void DropQueued(uint64_t aHost);
+
   /// Records the rate of requests that a response of an upstream names, see RequestLimit::Record().
   /// @return True if the limit of the upstream has changed.
   bool RecordLimit(std::string_view aUpstream, double aPerSecond, TimePoint aAnsweredAt);
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -599,6 +599,15 @@
   GrantQueued(aNow);
 }
 
+void SlotAllocator::DropQueued(uint64_t aHost)
+{
+  const auto first = queueKeys_.lower_bound({ aHost, 0 });
+  const auto end = std::find_if(
+    first, queueKeys_.end(), [&](const auto& aEntry) { return aEntry.first.host != aHost; });
+  std::for_each(first, end, [&](const auto& aEntry) { queue_.erase(aEntry.second); });
+  queueKeys_.erase(first, end);
+}
+
 void SlotAllocator::GrantQueued(TimePoint aNow)
 {
   while (!queue_.empty()) {
