--- a/packages/httpd/src/asio_server_p.h
+++ b/packages/httpd/src/asio_server_p.h
@@ -3,43 +3,11 @@
 #include <array>
 #include <unordered_map>
 
+#include "boragegauge/framing.h"
 #include "httpd_p.h"
 
 namespace bg::detail {
 
-/// Strict decoder of the chunked transfer coding (RFC 9112 section 7.1): line ends are CRLF and
-/// nothing but CRLF follows the data of a chunk. Trailer fields are dropped.
-class ChunkDecoder
-{
-public:
-  /// Takes bytes from the front of the input and returns the next piece of body; an empty piece
-  /// means that all input was taken, or that the body is done or invalid.
-  std::string_view Feed(std::string_view& aInput);
-
-  bool Done() const { return state_ == State::Done; }
-  bool Invalid() const { return state_ == State::Invalid; }
-
-private:
-  enum class State
-  {
-    Size,
-    Data,
-    DataEnd,
-    Trailer,
-    Done,
-    Invalid,
-
-    Count
-  };
-
-  void EndLine();
-  bool ParseSize(std::string_view aLine);
-
-  State state_ = State::Size;
-  uint64_t left_ = 0;
-  std::string line_;
-};
-
 /// A parsed request head.
 struct ParsedHead
 {
--- a/packages/httpd/src/head_check.cpp
+++ b/packages/httpd/src/head_check.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "boragegauge/framing.h"
 #include "httpd_p.h"
 
 namespace bg::detail {
@@ -102,13 +103,6 @@
   });
 }
 
-bool IsNumber(std::string_view aValue)
-{
-  return !aValue.empty() && aValue.size() <= 18 &&
-         std::all_of(
-           aValue.begin(), aValue.end(), [](char aChar) { return aChar >= '0' && aChar <= '9'; });
-}
-
 /// Counts of the fields that decide host and length.
 struct FramingFields
 {
@@ -126,7 +120,7 @@
   }
   if (Equals(aHeader.name, "content-length")) {
     ++aCounts.lengths;
-    return IsNumber(aHeader.value)
+    return ParseContentLength(aHeader.value)
              ? std::nullopt
              : std::optional<Refusal>({ 400, "invalid Content-Length header" });
   }
--- a/packages/httpd/src/head_parser.cpp
+++ b/packages/httpd/src/head_parser.cpp
@@ -95,7 +95,7 @@
     aHead.chunked = !coding->empty();
   }
   if (const std::string* length = FindHeader(aHead.headers, "content-length")) {
-    std::from_chars(length->data(), length->data() + length->size(), aHead.contentLength);
+    aHead.contentLength = ParseContentLength(*length).value_or(0); // See CheckHead().
   }
   aHead.expectsContinue = FindHeader(aHead.headers, "expect") != nullptr;
 }
--- a/packages/platform/src/http_platform.cpp
+++ b/packages/platform/src/http_platform.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "boragegauge/framing.h"
 #include "platform_p.h"
 
 namespace bg {
@@ -26,9 +27,10 @@
 struct Reply
 {
   CURLcode code = CURLE_OK;
-  bool maybeSent = false; ///< Request bytes may have reached the platform.
-  bool hasLength = false; ///< The response has a Content-Length or is chunked.
-  bool isTooLarge = false;
+  bool maybeSent = false;  ///< Request bytes may have reached the platform.
+  bool isComplete = false; ///< See ResponseReader::IsComplete().
+  bool hasLength = false;  ///< See ResponseReader::HasKnownLength().
+  ResponseReader::Problem problem = ResponseReader::Problem::None;
   long status = 0;
   std::string body;
   std::string detail; ///< Error text of libcurl.
@@ -44,38 +46,21 @@
   bool allowResend = true; ///< libcurl may send the request again if a reused connection is dead.
   std::function<void(Reply)> finish;
   Reply reply;
+  ResponseReader response;
   CURL* easy = nullptr;
   std::array<char, CURL_ERROR_SIZE> errorText{};
 };
 
 size_t OnHeader(char* aData, size_t aSize, size_t aCount, void* aCall)
 {
-  const std::string_view line(aData, aSize * aCount);
-  const auto startsWith = [&](std::string_view aName) {
-    return line.size() > aName.size() &&
-           std::equal(aName.begin(), aName.end(), line.begin(), [](char aOne, char aOther) {
-             return aOne == static_cast<char>(aOther | 0x20);
-           });
-  };
-  Reply& reply = static_cast<Call*>(aCall)->reply;
-  if (line.starts_with("HTTP/")) {
-    reply.hasLength = false;
-  } else if (startsWith("content-length") || startsWith("transfer-encoding")) {
-    reply.hasLength = true;
-  }
-  return line.size();
+  const size_t bytes = aSize * aCount;
+  return static_cast<Call*>(aCall)->response.AddHeaderLine({ aData, bytes }) ? bytes : 0;
 }
 
 size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aCall)
 {
-  Reply& reply = static_cast<Call*>(aCall)->reply;
   const size_t bytes = aSize * aCount;
-  if (reply.body.size() + bytes > kMaxReplyBytes) {
-    reply.isTooLarge = true;
-    return 0;
-  }
-  reply.body.append(aData, bytes);
-  return bytes;
+  return static_cast<Call*>(aCall)->response.AddBody({ aData, bytes }) ? bytes : 0;
 }
 
 long MillisecondsLeft(TimePoint aDeadline)
@@ -90,15 +75,18 @@
   const auto makeError = [&](Errc aCode, std::string aDetail) {
     return Error{ aCode, {}, {}, std::move(aDetail) };
   };
-  if (aReply.isTooLarge) {
+  if (aReply.problem == ResponseReader::Problem::TooLarge) {
     return makeError(Errc::TooLarge, "response is too large");
   }
+  if (aReply.problem == ResponseReader::Problem::Malformed) {
+    return makeError(Errc::Unavailable, "response is malformed");
+  }
   if (aReply.code != CURLE_OK) {
     const bool isTimeout = aReply.code == CURLE_OPERATION_TIMEDOUT;
     return makeError(isTimeout ? Errc::Timeout : Errc::Unavailable, aReply.detail);
   }
-  if (!aReply.hasLength && aReply.status != 204) {
-    return makeError(Errc::Unavailable, "response has no length and may be incomplete");
+  if (!aReply.hasLength || !aReply.isComplete) {
+    return makeError(Errc::Unavailable, "response may be incomplete");
   }
   const std::string detail = "status " + std::to_string(aReply.status);
   switch (aReply.status) {
@@ -198,6 +186,8 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MillisecondsLeft(aCall.deadline));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, MillisecondsLeft(aCall.deadline));
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aCall.errorText.data());
+    aCall.response.Start(false, kMaxReplyBytes, nullptr, nullptr);
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L); // ResponseReader decodes.
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aCall);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
@@ -233,7 +223,11 @@
     Reply& reply = aCall.reply;
     long requestBytes = 0;
     curl_easy_getinfo(aCall.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    curl_easy_getinfo(aCall.easy, CURLINFO_RESPONSE_CODE, &reply.status);
+    reply.status = aCall.response.Status();
+    reply.isComplete = aCall.response.IsComplete();
+    reply.hasLength = aCall.response.HasKnownLength();
+    reply.problem = aCall.response.Failure();
+    reply.body = aCall.response.TakeBody();
     reply.code = aCode;
     reply.maybeSent = requestBytes > 0;
     reply.detail = aCall.errorText[0] != '\0' ? aCall.errorText.data() : curl_easy_strerror(aCode);
--- a/packages/platform/tests/platform_test.cpp
+++ b/packages/platform/tests/platform_test.cpp
@@ -230,6 +230,27 @@
   }
 }
 
+// The bytes of an object say nothing of their number, so that only the response does.
+TEST_CASE("an object is not read in part when the length of its response is damaged")
+{
+  for (const std::string& head :
+       std::vector<std::string>{ "Content-Length: 99999999999999999999",
+                                 "Content-Length: 3x",
+                                 "Content-Length: 3,6",
+                                 "Transfer-Encoding: chunked\r\n\r\n3 3",
+                                 "Transfer-Encoding: chunked\r\n\r\n0x6" }) {
+    CAPTURE(head);
+    RawServer server([&](RawConnection& aConnection, int) {
+      aConnection.ReadMessage();
+      aConnection.Write("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\nabc\r\n0\r\n\r\n");
+    });
+    PlatformFixture client(server.Port());
+    const auto object = client.Await<std::string>(
+      [&](auto aCallback) { client.platform->GetObject("name", kDeadline, std::move(aCallback)); });
+    CHECK_FALSE(object);
+  }
+}
+
 TEST_CASE("integers outside the range of their field are rejected")
 {
   // Otherwise versions and ports would wrap around.
--- a/packages/upstream/src/chunk_decoder.cpp
+++ b/packages/upstream/src/chunk_decoder.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "asio_server_p.h"
+#include "upstream_p.h"
 
 namespace bg::detail {
 
@@ -19,6 +19,12 @@
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
+bool IsField(std::string_view aLine)
+{
+  const size_t colon = aLine.find(':');
+  return colon != std::string_view::npos && IsToken(aLine.substr(0, colon));
+}
+
 } // namespace
 
 std::string_view ChunkDecoder::Feed(std::string_view& aInput)
@@ -63,8 +69,9 @@
     case State::DataEnd:
       state_ = line.empty() ? State::Size : State::Invalid;
       break;
-    default: // Trailer fields are read and dropped.
-      state_ = line.empty() ? State::Done : State::Trailer;
+    default:
+      // Data behind a size that was damaged to 0 is no trailer field.
+      state_ = line.empty() ? State::Done : IsField(line) ? State::Trailer : State::Invalid;
       break;
   }
   line_.clear();
--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -500,17 +500,18 @@
   result.totalTime = Now() - aTransfer.started;
   result.status = response.Status();
   result.headers = response.TakeHeaders();
+  const bool hasKnownEnd = response.HasKnownLength() || aTransfer.request.acceptClosedEnd;
+  const bool isComplete = aCode == CURLE_OK && response.IsComplete() && hasKnownEnd;
   result.body = response.TakeBody();
   result.reservation = response.TakeReservation();
-  const bool hasKnownEnd = response.HasKnownLength() || aTransfer.request.acceptClosedEnd;
-  if (aCode != CURLE_OK || !response.IsHeadComplete() || !hasKnownEnd) {
+  if (!isComplete) {
     result.failure = ClassifyFailure(aCode,
                                      response,
                                      aTransfer.errorText.data(),
                                      result.maybeSent,
                                      result.totalTime >= aTransfer.request.deadline);
     result.detail = aTransfer.errorText[0] != '\0' ? std::string(aTransfer.errorText.data())
-                    : aCode == CURLE_OK            ? std::string("end of response unknown")
+                    : aCode == CURLE_OK            ? std::string("response is not complete")
                                                    : std::string(curl_easy_strerror(aCode));
   }
   return result;
--- a/packages/upstream/src/curl_request.cpp
+++ b/packages/upstream/src/curl_request.cpp
@@ -103,6 +103,7 @@
   curl_easy_setopt(aEasy, CURLOPT_NOPROGRESS, 1L);
   curl_easy_setopt(aEasy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt(aEasy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt(aEasy, CURLOPT_HTTP_TRANSFER_DECODING, 0L); // ResponseReader decodes.
   curl_easy_setopt(aEasy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(aEasy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(aEasy, CURLOPT_TCP_KEEPALIVE, 1L);
--- a/packages/upstream/src/response_reader.cpp
+++ b/packages/upstream/src/response_reader.cpp
@@ -52,13 +52,10 @@
   return false;
 }
 
-bool IsToken(std::string_view aText)
+bool IsDigits(std::string_view aText)
 {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [&](char aChar) {
-    const char lower = ToLower(aChar);
-    return (lower >= 'a' && lower <= 'z') || (aChar >= '0' && aChar <= '9') ||
-           kSymbols.find(aChar) != std::string_view::npos;
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    return aChar >= '0' && aChar <= '9';
   });
 }
 
@@ -87,6 +84,23 @@
     });
 }
 
+bool IsToken(std::string_view aText)
+{
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [&](char aChar) {
+    const char lower = ToLower(aChar);
+    return (lower >= 'a' && lower <= 'z') || (aChar >= '0' && aChar <= '9') ||
+           kSymbols.find(aChar) != std::string_view::npos;
+  });
+}
+
+std::optional<uint64_t> ParseContentLength(std::string_view aText)
+{
+  uint64_t length = 0;
+  const auto result = std::from_chars(aText.data(), aText.data() + aText.size(), length);
+  return IsDigits(aText) && result.ec == std::errc() ? std::optional(length) : std::nullopt;
+}
+
 bool IsHopByHop(std::string_view aName, std::span<const HttpHeader> aHeaders)
 {
   static constexpr std::array<std::string_view, 9> kNames = {
@@ -189,15 +203,21 @@
 
 bool ResponseReader::StartHead(std::string_view aLine)
 {
-  const size_t space = aLine.find(' ');
-  if (!aLine.starts_with("HTTP/1.") || space == std::string_view::npos) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr size_t kCodeStart = kVersion.size() + 2; // Minor version and space.
+  constexpr size_t kCodeSize = 3;
+  const std::string_view line = aLine.substr(0, aLine.find_last_not_of(" \r\n") + 1);
+  const bool hasCode = line.starts_with(kVersion) && line.size() >= kCodeStart + kCodeSize &&
+                       IsDigits(line.substr(kVersion.size(), 1)) && line[kCodeStart - 1] == ' ' &&
+                       IsDigits(line.substr(kCodeStart, kCodeSize));
+  const std::string_view reason = hasCode ? line.substr(kCodeStart + kCodeSize) : "";
+  if (!hasCode || (!reason.empty() && reason.front() != ' ')) {
     return Fail(Problem::Malformed);
   }
   headers_.clear();
   isHeadComplete_ = false;
-  status_ = 0;
-  const std::string_view code = aLine.substr(space + 1, 3);
-  std::from_chars(code.data(), code.data() + code.size(), status_);
+  const char* code = line.data() + kCodeStart;
+  std::from_chars(code, code + kCodeSize, status_);
   return status_ >= 100 && status_ <= 599 ? true : Fail(Problem::Malformed);
 }
 
@@ -225,7 +245,6 @@
 bool ResponseReader::EndHead()
 {
   isHeadComplete_ = true;
-  const std::string* length = nullptr;
   for (const HttpHeader& header : headers_) {
     if (EqualsIgnoreCase(header.name, "transfer-encoding")) {
       // The body would be passed on still encoded, but without the field that names the coding.
@@ -234,20 +253,34 @@
       }
       isChunked_ = true;
     } else if (EqualsIgnoreCase(header.name, "content-length")) {
-      if (length != nullptr && *length != header.value) {
+      const auto length = ParseContentLength(header.value);
+      if (!length || (length_ && *length_ != *length)) {
         return Fail(Problem::Malformed);
       }
-      length = &header.value;
+      length_ = length;
     }
   }
-  hasLength_ = length != nullptr;
-  // With both fields the end of the response is ambiguous (RFC 9112, section 6.3).
-  return isChunked_ && hasLength_ ? Fail(Problem::Malformed) : true;
+  // With both fields the end of the response is ambiguous (RFC 9112, section 6.3). curl applies
+  // those of an informational response to the final one.
+  const bool isAmbiguous =
+    IsInformational() ? isChunked_ || length_.has_value() : isChunked_ && length_.has_value();
+  return isAmbiguous ? Fail(Problem::Malformed) : true;
 }
 
 bool ResponseReader::HasKnownLength() const
 {
-  return hasLength_ || isChunked_ || isHeadRequest_ || status_ == 204 || status_ == 304;
+  return length_ || isChunked_ || IsBodiless();
+}
+
+bool ResponseReader::IsComplete() const
+{
+  if (!IsHeadComplete()) {
+    return false;
+  }
+  if (IsBodiless()) {
+    return true;
+  }
+  return isChunked_ ? chunks_.Done() : !length_ || *length_ == body_.size();
 }
 
 bool ResponseReader::AddBody(std::string_view aBytes)
@@ -255,6 +288,23 @@
   if (!IsHeadComplete()) {
     return Fail(Problem::Malformed);
   }
+  if (!isChunked_) {
+    return AddDecodedBody(aBytes);
+  }
+  while (!aBytes.empty() && !chunks_.Done()) {
+    const std::string_view data = chunks_.Feed(aBytes);
+    if (chunks_.Invalid()) {
+      return Fail(Problem::Malformed);
+    }
+    if (!AddDecodedBody(data)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool ResponseReader::AddDecodedBody(std::string_view aBytes)
+{
   if (body_.size() + aBytes.size() > maxBytes_ || !Reserve(aBytes.size())) {
     return Fail(Problem::TooLarge);
   }
--- a/packages/upstream/src/upstream_p.h
+++ b/packages/upstream/src/upstream_p.h
@@ -4,90 +4,19 @@
 #include <span>
 #include <string_view>
 
-#include "boragegauge/upstream.h"
+#include "boragegauge/framing.h"
 
 struct curl_slist;
 struct sockaddr;
 
 namespace bg::detail {
 
-/// Collects the response of one attempt from its header lines and body bytes, and checks that its
-/// length is unambiguous.
-class ResponseReader
-{
-public:
-  enum class Problem
-  {
-    None,
-    TooLarge,
-    Malformed,
-
-    Count
-  };
-
-  /// Resets the reader for a new attempt.
-  /// @param aMaxBytes Maximum size of the body.
-  /// @param aBudget Bounds the bodies of all responses; null: no limit.
-  /// @param aMakeRoom Called when the budget is used up. Returns false if it cannot free bytes.
-  void Start(bool aIsHeadRequest,
-             size_t aMaxBytes,
-             std::shared_ptr<ByteBudget> aBudget,
-             std::function<bool()> aMakeRoom);
-
-  /// Adds one header line including its line end. Returns false on a Problem, which stops the
-  /// transfer.
-  bool AddHeaderLine(std::string_view aLine);
-
-  /// Adds body bytes after removal of the chunked coding. Returns false on a Problem, which stops
-  /// the transfer.
-  bool AddBody(std::string_view aBytes);
-
-  /// Gives the response up and frees its body; the transfer must be stopped.
-  void Abandon();
-  size_t BodyBytes() const { return body_.size(); }
-
-  /// True if the header section of the final (not 1xx) response is complete.
-  bool IsHeadComplete() const { return isHeadComplete_ && !IsInformational(); }
-
-  /// True if a complete body can be distinguished from a lost connection: the body has a length, is
-  /// chunked, or the response never has one.
-  bool HasKnownLength() const;
-
-  Problem Failure() const { return problem_; }
-  int Status() const { return status_; }
-
-  /// Returns the header fields except the hop-by-hop ones, see IsHopByHop().
-  std::vector<HttpHeader> TakeHeaders();
-  std::string TakeBody() { return std::move(body_); }
-  std::shared_ptr<ByteReservation> TakeReservation() { return std::move(reservation_); }
-
-private:
-  /// Makes room in the body for more bytes, within the budget.
-  bool Reserve(size_t aBytes);
-  bool Fail(Problem aProblem);
-  bool StartHead(std::string_view aLine);
-  bool AddField(std::string_view aLine);
-  bool EndHead();
-  bool IsInformational() const { return status_ >= 100 && status_ < 200; }
-
-  bool isHeadRequest_ = false;
-  bool isHeadComplete_ = false;
-  bool isChunked_ = false;
-  bool hasLength_ = false;
-  int status_ = 0;
-  size_t maxBytes_ = 0;
-  size_t headBytes_ = 0;
-  Problem problem_ = Problem::None;
-  std::vector<HttpHeader> headers_;
-  std::string body_;
-  std::shared_ptr<ByteReservation> reservation_;
-  size_t reservedBytes_ = 0; ///< For body_.
-  std::function<bool()> makeRoom_;
-};
-
 /// ASCII case-insensitive equality.
 bool EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
 
+/// True for a name as of a method or a header field.
+bool IsToken(std::string_view aText);
+
 /// True for fields that are valid for one connection only: those of RFC 9110, section 7.6.1, and
 /// those listed in the Connection field.
 bool IsHopByHop(std::string_view aName, std::span<const HttpHeader> aHeaders);
