--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -54,6 +54,7 @@
   };
   slots.onNews = [this] { hasNews_ = true; };
   slots.retries = { init_.retryRatio, init_.retrySlack, init_.retryWindow };
+  slots.isFirstStart = init_.isFirstStart;
   slots_ = std::make_unique<SlotClient>(std::move(slots));
 }
 
--- a/packages/fleet/src/slot_client.cpp
+++ b/packages/fleet/src/slot_client.cpp
@@ -23,6 +23,13 @@
 /// A pause holds for one host only, so that callers may come back to another one soon.
 constexpr Duration kMaxPauseRetryAfter = std::chrono::seconds(1);
 
+// Holders of counts for the retry budget that have no key in leases.
+constexpr uint64_t kPlacedLocally = 0;
+constexpr uint64_t kNoProcess = 1;
+
+/// Avoids a division by zero.
+constexpr double kMinRetryRatio = 0.001;
+
 /// The limit of an upstream whose entry has expired is kept for this long.
 constexpr Duration kKnownLimitPeriod = std::chrono::seconds(60);
 
@@ -41,6 +48,7 @@
 
 SlotClient::SlotClient(SlotClientInit aInit)
   : init_(std::move(aInit))
+  , startedAt_(init_.now())
 {
   selfKey_ = HostKey(ToWire(init_.members->Self()));
 }
@@ -64,13 +72,62 @@
   init.seed = Hash64(aKey, selfKey_);
   Shard& shard = shards_[key];
   shard.allocator = std::make_unique<placement::SlotAllocator>(std::move(init));
+  if (!init_.isFirstStart) {
+    shard.allocator->Retries().SetStart(startedAt_);
+  }
   FillShards({ &key, 1 }, init_.now());
   return shard;
 }
 
-placement::RetryWindow& SlotClient::LocalRetryBudget(const std::string& aService)
+placement::RetryBudget& SlotClient::LocalRetryBudget(const std::string& aService)
 {
-  return localRetryBudgets_.try_emplace(aService, init_.retries).first->second;
+  const TimePoint now = init_.now();
+  placement::RetryBudget::Init init = init_.retries;
+  init.slack = 0;
+  placement::RetryBudget& budget = localRetryBudgets_.try_emplace(aService, init).first->second;
+  if (!init_.isFirstStart) {
+    budget.SetStart(startedAt_);
+  }
+  placement::RetryCounts elsewhere;
+  for (const auto& [key, shard] : shards_) {
+    if (key.substr(0, key.rfind('#')) == aService) {
+      const placement::RetryCounts counts = CountedElsewhere(shard, kPlacedLocally);
+      elsewhere.requests += counts.requests;
+      elsewhere.retries += counts.retries;
+    }
+  }
+  // What an allocator has left belongs to all hosts.
+  const double spent = elsewhere.retries / std::max(init_.retries.ratio, kMinRetryRatio);
+  elsewhere.requests = static_cast<uint32_t>(std::min<double>(elsewhere.requests, spent));
+  budget.SetElsewhere(selfKey_, elsewhere, KnowsRetryWindow(), now);
+  return budget;
+}
+
+void SlotClient::RecordCounted(PendingRequest& aPending, uint64_t aHolder)
+{
+  if (std::exchange(aPending.isCounted, true)) {
+    return;
+  }
+  const bool isRetry = aPending.query.isRetry;
+  GetShard(aPending.shard)
+    .counted.try_emplace(aHolder, init_.retries.window)
+    .first->second.Add({ isRetry ? 0U : 1U, isRetry ? 1U : 0U }, init_.now());
+}
+
+placement::RetryCounts SlotClient::CountedElsewhere(const Shard& aShard, uint64_t aHolder) const
+{
+  placement::RetryCounts total;
+  for (const auto& [holder, usage] : aShard.counted) {
+    const placement::RetryCounts counts = usage.At(init_.now());
+    total.requests += holder == aHolder ? 0 : counts.requests;
+    total.retries += holder == aHolder ? 0 : counts.retries;
+  }
+  return total;
+}
+
+bool SlotClient::KnowsRetryWindow() const
+{
+  return init_.isFirstStart || init_.now() - startedAt_ >= init_.retries.window;
 }
 
 void SlotClient::UpdateUpstreams(TimePoint aNow)
@@ -356,16 +413,15 @@
   request.deadline = aQuery.deadline;
   request.exclude = aQuery.exclude;
   request.avoid = PausedUpstreams(aQuery.service, init_.now());
-  const auto pending = pendingRequests_.find(aSequence);
-  request.isIsolated = pending != pendingRequests_.end() && pending->second.isSuspectTrial;
+  if (const auto pending = pendingRequests_.find(aSequence); pending != pendingRequests_.end()) {
+    request.isIsolated = pending->second.isSuspectTrial;
+    request.isCounted = pending->second.isCounted;
+  }
   return request;
 }
 
 void SlotClient::Acquire(uint64_t aSequence, SlotQuery aQuery, SlotCallback aCallback)
 {
-  if (!aQuery.isRetry) {
-    LocalRetryBudget(aQuery.service).OnRequest(init_.now());
-  }
   PendingRequest pending;
   pending.shard = SelectShard(aQuery.service);
   pending.query = std::move(aQuery);
@@ -404,7 +460,11 @@
       return;
     }
     RecordServing(pending.shard, shard, now);
-    shard.allocator->Request(MakeRequest(aSequence, pending.query), now);
+    shard.allocator->Retries().SetElsewhere(
+      selfKey_, CountedElsewhere(shard, selfKey_), KnowsRetryWindow(), now);
+    if (!shard.allocator->Request(MakeRequest(aSequence, pending.query), now)) {
+      RecordCounted(pending, selfKey_);
+    }
     return;
   }
   wire::Envelope envelope;
@@ -421,6 +481,14 @@
   request.set_waited_ms(ToWireMs(now - pending.query.receivedAt));
   request.set_left_ms(ToWireMs(pending.query.deadline - now));
   request.set_trial_fingerprint(pending.isSuspectTrial ? pending.query.fingerprint : 0);
+  request.set_counted(pending.isCounted);
+  const auto process = processKeys_.find(host);
+  const uint64_t holder = process == processKeys_.end() ? kNoProcess : process->second;
+  const placement::RetryCounts elsewhere = CountedElsewhere(shard, holder);
+  request.set_counted_by_incarnation(holder == kNoProcess ? 0 : processes_.at(holder).incarnation);
+  request.set_requests_elsewhere(elsewhere.requests);
+  request.set_retries_elsewhere(elsewhere.retries);
+  request.set_knows_elsewhere(KnowsRetryWindow());
   for (const std::string& upstream : pending.query.exclude) {
     request.add_exclude(upstream);
   }
@@ -467,10 +535,12 @@
     // Without the allocator nobody knows whether another host sends the request as well.
     return OnRefused(aSequence, "request_on_trial", kTrialRetryAfter);
   }
-  if (pending.query.isRetry &&
-      !LocalRetryBudget(pending.query.service).TryTake(init_.members->Count(), now)) {
+  if (!pending.isCounted && !pending.query.isRetry) {
+    LocalRetryBudget(pending.query.service).OnRequest(now);
+  } else if (!pending.isCounted && !LocalRetryBudget(pending.query.service).TryTake({}, now)) {
     return OnRefused(aSequence, "retry_budget", Duration(0));
   }
+  RecordCounted(pending, kPlacedLocally);
   ++stats_.localFallbacks;
   pending.allocatorHost.clear();
   const std::string upstream =
@@ -526,6 +596,9 @@
   const TimePoint now = init_.now();
   const RegisteredUpstream* upstream = init_.registry->Find(aUpstream);
   Shard& shard = GetShard(pending.shard);
+  if (pending.allocatorHost == Self()) {
+    RecordCounted(pending, selfKey_);
+  }
   if (upstream == nullptr || !IsAccepting(*upstream)) {
     // The allocator knows less than this host, or the other way round.
     return RejectGrant(aSequence, aUpstream, false);
@@ -703,6 +776,7 @@
 void SlotClient::HandleAnswer(const wire::Envelope& aMessage)
 {
   const wire::SlotAnswer& answer = aMessage.slot_answer();
+  const uint64_t allocator = RecordProcess(aMessage.sender());
   HandleLimits(answer.limits());
   const uint64_t sequence = answer.sequence();
   const uint64_t receiver = answer.receiver_incarnation();
@@ -720,6 +794,9 @@
   }
   PendingRequest& pending = found->second;
   GetShard(pending.shard).queueLength = answer.waiting();
+  if (answer.kind() != wire::SlotAnswer::REFUSED || !pending.query.isRetry) {
+    RecordCounted(pending, allocator);
+  }
   switch (answer.kind()) {
     case wire::SlotAnswer::GRANTED:
       return OnGranted(sequence, answer.upstream());
--- a/packages/fleet/src/slot_client_p.h
+++ b/packages/fleet/src/slot_client_p.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -84,8 +85,9 @@
   std::function<void()> onNews = nullptr;
   /// The upstreams that accept requests may have changed.
   std::function<void(std::span<const RegisteredUpstream* const>)> onUpstreams = nullptr;
-  placement::RetryWindow::Init retries{};             ///< Budget per service, over all hosts.
-  Duration responseTimeout = Milliseconds(60);        ///< Until the next allocator is asked.
+  placement::RetryBudget::Init retries{};      ///< Budget per service, over all hosts.
+  bool isFirstStart = false;                   ///< No process of the fleet has run before this one.
+  Duration responseTimeout = Milliseconds(60); ///< Until the next allocator is asked.
   Duration queueCheckInterval = Milliseconds(200);    ///< Between repeats of a queued request.
   Duration suspectsShareInterval = Milliseconds(500); ///< Between messages with the suspects.
 };
@@ -120,8 +122,8 @@
   void Release(uint64_t aSequence, const SlotReport& aReport);
 
   void HandleMessage(const wire::Envelope& aMessage);
-  /// Records which process of a host requests slots, and drops the queued requests of an earlier
-  /// one. Its leases stay until they expire, because upstreams may still run its requests.
+  /// Records which process of a host has sent a message, and drops the queued requests of an
+  /// earlier one. Its leases stay until they expire, because upstreams may still run its requests.
   /// @return Key of the process in leases.
   uint64_t RecordProcess(const wire::Member& aMember);
   /// Applies the upstreams of the registry to the shards. Must be called when the registry has
@@ -172,6 +174,7 @@
     std::vector<std::string> suspects; ///< As of the last LogSuspects(), sorted.
     std::unordered_map<uint64_t, TimePoint> limitsSentAt; ///< With answers, by HostKey().
     TimePoint lastRequestAt{}; ///< Last request for a slot that this host served.
+    std::map<uint64_t, placement::RetryUsage> counted; ///< See RecordCounted().
   };
   /// A request of this host that waits for a slot.
   struct PendingRequest
@@ -184,6 +187,7 @@
     uint32_t timeouts = 0; ///< Allocators that did not respond.
     uint32_t pausedGrants = 0; ///< Grants of paused upstreams, which were turned down.
     bool isQueued = false;
+    bool isCounted = false;      ///< For the retry budget, see RetryBudget.
     bool isSuspectTrial = false; ///< See quarantine::Decision::Trial.
     std::shared_ptr<void> timer;
   };
@@ -211,8 +215,17 @@
   Shard& GetShard(std::string_view aKey);
   /// Applies the upstreams of the registry to some shards.
   void FillShards(std::span<const std::string> aKeys, TimePoint aNow);
-  /// Budget of this host for retries without the grant of an allocator.
-  placement::RetryWindow& LocalRetryBudget(const std::string& aService);
+  /// Part of the retry budget for requests that this host places itself. Its slack belongs to the
+  /// allocators.
+  placement::RetryBudget& LocalRetryBudget(const std::string& aService);
+  /// Records that a process has counted a request for the retry budget. @param aHolder Its
+  /// HostKey(), or kPlacedLocally.
+  void RecordCounted(PendingRequest& aPending, uint64_t aHolder);
+  /// What others than a process have counted for requests of this host to a shard.
+  placement::RetryCounts CountedElsewhere(const Shard& aShard, uint64_t aHolder) const;
+  /// Whether this process knows all that was counted for this host within the window of the retry
+  /// budget.
+  bool KnowsRetryWindow() const;
   bool IsSharedSuspect(std::string_view aUpstream, TimePoint aNow) const;
   std::string SelectShard(const std::string& aService);
   void SelectUsedShards();
@@ -292,7 +305,7 @@
   void HandleLimits(const wire::Limits& aMessage);
   static void LogSuspects(std::string_view aKey, Shard& aShard);
   const std::string& Self() const { return init_.members->Self().host; }
-  /// A process of a host, to which the requests in an allocator belong.
+  /// A process of a host.
   struct HostProcess
   {
     std::string host;
@@ -307,11 +320,12 @@
 
   SlotClientInit init_;
   uint64_t selfKey_;
+  TimePoint startedAt_;
   std::map<std::string, Shard, std::less<>> shards_;
   std::unordered_map<std::string, size_t> shardCounts_; ///< By service.
   /// Shards of each service to which this host sends requests.
   std::unordered_map<std::string, std::vector<std::string>> usedShards_;
-  std::unordered_map<std::string, placement::RetryWindow> localRetryBudgets_;
+  std::unordered_map<std::string, placement::RetryBudget> localRetryBudgets_;
   std::unordered_map<uint64_t, PendingRequest> pendingRequests_;
   std::unordered_map<uint64_t, HeldSlot> heldSlots_;
   std::unordered_map<uint64_t, HostProcess> processes_;          ///< By HostKey().
--- a/packages/fleet/src/slot_server.cpp
+++ b/packages/fleet/src/slot_server.cpp
@@ -319,9 +319,18 @@
   request.exclude.assign(message.exclude().begin(), message.exclude().end());
   request.avoid.assign(message.avoid().begin(), message.avoid().end());
   request.isIsolated = message.trial_fingerprint() != 0;
+  request.isCounted = message.counted();
   Shard& shard = GetShard(message.shard());
   init_.members->RecordClient(aMessage.sender().host(), now);
   RecordServing(message.shard(), shard, now);
+  const uint64_t holder = message.counted_by_incarnation();
+  if (holder == 0 || holder == init_.members->Self().incarnation) {
+    shard.allocator->Retries().SetElsewhere(
+      request.lease.host,
+      { message.requests_elsewhere(), message.retries_elsewhere() },
+      message.knows_elsewhere(),
+      now);
+  }
   if (request.isIsolated && !trials_.TryAcquire(message.trial_fingerprint(),
                                                 { request.lease.host, request.lease.sequence },
                                                 request.deadline,
--- a/packages/fleet/tests/slot_fleet.h
+++ b/packages/fleet/tests/slot_fleet.h
@@ -24,7 +24,11 @@
     uint64_t incarnation = 1;
   };
 
-  explicit SlotFleet(size_t aHosts, size_t aUpstreams = 4, uint32_t aSlots = 1)
+  explicit SlotFleet(size_t aHosts,
+                     size_t aUpstreams = 4,
+                     uint32_t aSlots = 1,
+                     placement::RetryBudget::Init aRetries = {})
+    : retries_(aRetries)
   {
     for (size_t i = 0; i < aHosts; ++i) {
       AddHost("host" + std::to_string(i));
@@ -91,13 +95,15 @@
 
   uint64_t Acquire(const std::string& aHost,
                    bool aIdempotent = false,
-                   const std::string& aService = "desk")
+                   const std::string& aService = "desk",
+                   bool aIsRetry = false)
   {
     Host& host = hosts.at(aHost);
     const uint64_t sequence = ++host.sequence;
     SlotQuery query;
     query.service = aService;
     query.idempotent = aIdempotent;
+    query.isRetry = aIsRetry;
     query.receivedAt = now;
     query.deadline = now + std::chrono::seconds(2);
     host.slots->Acquire(sequence, query, [&host, sequence](SlotResult aResult) {
@@ -200,6 +206,7 @@
     SlotClientInit init;
     init.members = host.members.get();
     init.registry = host.registry.get();
+    init.retries = retries_;
     init.now = [this] { return now; };
     init.send = [this, aName](std::string_view aHost, wire::Envelope aMessage) {
       *aMessage.mutable_sender() = ToWire(hosts.at(aName).members->Self());
@@ -215,6 +222,7 @@
     host.slots = std::make_unique<SlotClient>(std::move(init));
   }
 
+  placement::RetryBudget::Init retries_;
   uint64_t version_ = 0;
   std::vector<EntryChange> entries_;
   std::deque<Message> network_;
--- a/packages/placement/bench/load_model.cpp
+++ b/packages/placement/bench/load_model.cpp
@@ -390,7 +390,7 @@
     }
     request->tried.push_back(upstreams_[aIndex].id);
     const bool canRetry = request->idempotent || aOutcome == Outcome::Refused;
-    const bool isInBudget = policy_ == Policy::Allocator || retries_.TryTake(1, now_);
+    const bool isInBudget = policy_ == Policy::Allocator || retries_.TryTake({}, now_);
     if (canRetry && request->attempts < kMaxAttempts && isInBudget) {
       return Dispatch(request);
     }
@@ -409,7 +409,7 @@
   Load load_;
   Policy policy_;
   std::mt19937_64 random_;
-  RetryWindow retries_;
+  RetryBudget retries_;
   SlotAllocator allocator_;
   std::vector<Upstream> upstreams_;
   std::vector<std::vector<uint32_t>> localInFlight_;
--- a/packages/placement/include/boragegauge/placement.h
+++ b/packages/placement/include/boragegauge/placement.h
@@ -59,8 +59,9 @@
   LeaseId lease;
   std::string failureDomain; ///< Failure domain of the requesting host.
   bool idempotent = false;
-  bool isRetry = false;  ///< The request was already sent to another upstream.
-  uint32_t priority = 0; ///< 0 is the most urgent.
+  bool isRetry = false;   ///< The request was already sent to another upstream.
+  bool isCounted = false; ///< Another holder of the retry budget has counted it, see RetryBudget.
+  uint32_t priority = 0;  ///< 0 is the most urgent.
   TimePoint receivedAt{};
   size_t bodyBytes = 0;             ///< Size of the request body.
   TimePoint targetBy{};             ///< Latency target; unset when there is none.
@@ -191,8 +192,42 @@
   int64_t lastTurn_ = -1; ///< Of the last request.
 };
 
-/// Retry budget over a sliding window. It limits how many requests are sent to a second upstream.
-class RetryWindow
+/// Requests, and retries of requests.
+struct RetryCounts
+{
+  uint32_t requests = 0;
+  uint32_t retries = 0;
+};
+
+/// Counts requests and retries over a sliding window.
+class RetryUsage
+{
+public:
+  explicit RetryUsage(Duration aWindow);
+  void Add(const RetryCounts& aCounts, TimePoint aNow);
+  RetryCounts At(TimePoint aNow) const;
+
+private:
+  static constexpr size_t kBuckets = 10;
+  struct Bucket
+  {
+    int64_t index = -1;
+    RetryCounts counts;
+  };
+
+  Duration bucketLength_;
+  std::array<Bucket, kBuckets> buckets_;
+};
+
+/// Retry budget of a service over a sliding window, as one of its holders keeps it. It limits how
+/// many requests are sent to a second upstream.
+///
+/// There are several holders at once and one after the other: the allocators of the shards, those
+/// that replace them, and hosts that reach none. Each request counts for one of them. A holder that
+/// stops takes its counts with it, so that hosts keep what other holders have counted for them and
+/// report it to each new one. A holder to which nobody can tell what has been spent grants nothing
+/// for a window.
+class RetryBudget
 {
 public:
   struct Init
@@ -201,34 +236,42 @@
     double slack = 0;   ///< Retries per window allowed in addition to the ratio.
     Duration window = std::chrono::seconds(10);
   };
-  explicit RetryWindow(const Init& aInit);
+  /// The part of the service that a holder serves.
+  struct Share
+  {
+    double slack = 1; ///< Share of the slack that belongs to this holder, 0 to 1.
+    size_t hosts = 1; ///< Hosts whose requests it may get.
+  };
+  explicit RetryBudget(const Init& aInit);
 
+  /// Sets the start of the process. What an earlier one has counted is known to hosts only. By
+  /// default, there was none.
+  void SetStart(TimePoint aStartedAt);
+  /// Counts a request that no other holder has counted.
   void OnRequest(TimePoint aNow);
-  /// Spends one retry of the budget if one is left.
-  /// @param aWindowCount Number of windows that share the slack.
+  /// Sets what other holders have counted for a host within the window, which replaces its report
+  /// before.
+  /// @param aIsComplete The host knows all of the window.
+  void SetElsewhere(uint64_t aHost, const RetryCounts& aCounts, bool aIsComplete, TimePoint aNow);
+  /// Spends one retry if one is left.
   /// @param aBudgetShare Share of the budget that this kind of retry may use up, 0 to 1.
-  bool TryTake(size_t aWindowCount, TimePoint aNow, double aBudgetShare = 1);
-  /// Share of the budget that has been spent, 0 to 1.
-  double UsedShare(size_t aWindowCount, TimePoint aNow) const;
+  bool TryTake(const Share& aShare, TimePoint aNow, double aBudgetShare = 1);
+  /// Share of the budget that this holder has spent by itself, 0 to 1.
+  double UsedShare(const Share& aShare, TimePoint aNow) const;
 
 private:
-  static constexpr size_t kBuckets = 10;
-  struct Bucket
-  {
-    int64_t index = -1;
-    uint32_t requests = 0;
-    uint32_t retries = 0;
-  };
-  struct Usage
+  struct Report
   {
-    double retries = 0;
-    double budget = 0;
+    RetryCounts counts;
+    bool isComplete = false;
+    TimePoint at{};
   };
-  Bucket& BucketAt(TimePoint aNow);
-  Usage UsageAt(size_t aWindowCount, TimePoint aNow) const;
+  double Left(const Share& aShare, TimePoint aNow, double aBudgetShare);
 
   Init init_;
-  std::array<Bucket, kBuckets> buckets_;
+  TimePoint startedAt_{};
+  RetryUsage usage_;
+  std::unordered_map<uint64_t, Report> elsewhere_; ///< By LeaseId::host.
 };
 
 /// Finds out when too many upstreams of a service are left without work.
@@ -265,7 +308,7 @@
 {
   std::function<void(const Grant&)> onGrant = nullptr;
   std::function<void(const Refusal&)> onRefusal = nullptr;
-  RetryWindow::Init retries{}; ///< Retry budget of the whole service.
+  RetryBudget::Init retries{}; ///< Of the whole service.
   uint64_t seed = 1;
 };
 
@@ -327,6 +370,8 @@
   /// Sets how many of all hosts use this allocator or would, including its own host. An allocator
   /// that less than half of them reach uses a part of the limits of upstreams.
   void SetReach(size_t aReachable, size_t aHosts);
+  /// Retry budget of the shard, for what hosts report.
+  RetryBudget& Retries() { return retries_; }
   /// Counts requests that another allocator has sent against the limit of an upstream.
   void RecordSends(std::string_view aUpstream, uint32_t aCount, TimePoint aNow);
 
@@ -426,6 +471,8 @@
                    TimePoint aNow) const;
   /// Whether this allocator is cut off from most hosts, which may use another one.
   bool IsInMinority() const { return 2 * reachableHosts_ < hosts_; }
+  /// The part of the retry budget of the service that belongs to this allocator.
+  RetryBudget::Share RetryShare() const;
   /// Slots that the limit of the upstream allows to use.
   double UsableSlots(const Upstream& aUpstream) const;
   /// Returns true when the upstream has not succeeded recently.
@@ -477,7 +524,7 @@
   std::map<QueueKey, SlotRequest> queue_;
   std::map<LeaseId, QueueKey> queueKeys_;
   Duration serviceTime_;
-  RetryWindow retries_;
+  RetryBudget retries_;
   CoverageMonitor coverage_;
   size_t shardCount_ = 1;
   size_t reachableHosts_ = 1; ///< See SetReach().
--- a/packages/placement/src/slot_allocator.cpp
+++ b/packages/placement/src/slot_allocator.cpp
@@ -195,10 +195,11 @@
     Refuse(aRequest.lease, "upstreams_paused", serviceTime_, aNow);
     return true;
   }
-  if (!aRequest.isRetry) {
+  if (!aRequest.isCounted && !aRequest.isRetry) {
     retries_.OnRequest(aNow);
-  } else if (!retries_.TryTake(
-               shardCount_, aNow, aRequest.idempotent ? kIdempotentRetryShare : 1)) {
+  } else if (!aRequest.isCounted &&
+             !retries_.TryTake(
+               RetryShare(), aNow, aRequest.idempotent ? kIdempotentRetryShare : 1)) {
     Refuse(aRequest.lease, "retry_budget", serviceTime_, aNow);
     return true;
   }
@@ -266,6 +267,13 @@
   hosts_ = aHosts;
 }
 
+RetryBudget::Share SlotAllocator::RetryShare() const
+{
+  const double reach =
+    static_cast<double>(reachableHosts_) / static_cast<double>(std::max<size_t>(1, hosts_));
+  return { std::min(1.0, reach) / static_cast<double>(std::max<size_t>(1, shardCount_)), hosts_ };
+}
+
 double SlotAllocator::UsableSlots(const Upstream& aUpstream) const
 {
   const double slots = aUpstream.info.slots;
@@ -356,7 +364,7 @@
   context.demand = Demand();
   context.mayRunTrial = context.demand == CapacityDemand::Waiting ||
                         aNow - lastOtherRequest_ < kRequestKindWindow ||
-                        retries_.UsedShare(shardCount_, aNow) < kTrialRetryShare;
+                        retries_.UsedShare(RetryShare(), aNow) < kTrialRetryShare;
   context.mayAwaitProof =
     !aRequest.idempotent && hasRecentIdempotent && !IsLate(aRequest, aNow) &&
     context.waited < (aRequest.targetBy - aRequest.receivedAt) / kProofWaitDivisor;
--- a/packages/placement/tests/slot_allocator_test.cpp
+++ b/packages/placement/tests/slot_allocator_test.cpp
@@ -382,32 +382,135 @@
   }
 }
 
-TEST_CASE("the retry window")
+TEST_CASE("the retry budget")
 {
   TimePoint now{ std::chrono::hours(1) };
-  RetryWindow window({ 0.2, 40, std::chrono::seconds(10) });
+  RetryBudget budget({ 0.2, 40, std::chrono::seconds(10) });
+  RetryBudget::Share share{ .slack = 0.1, .hosts = 4 };
   const auto consumeAll = [&] {
     int retries = 0;
-    while (window.TryTake(10, now)) {
+    while (budget.TryTake(share, now)) {
       ++retries;
     }
     return retries;
   };
+  const auto count = [&](int aRequests) {
+    for (int i = 0; i < aRequests; ++i) {
+      budget.OnRequest(now);
+    }
+  };
   SUBCASE("allows its share of the slack without requests")
   {
     CHECK(consumeAll() == 3);
   }
   SUBCASE("allows more retries with more requests and frees them after the window")
   {
-    for (int i = 0; i < 100; ++i) {
-      window.OnRequest(now);
-    }
+    count(100);
     CHECK(consumeAll() == 21);
     now += std::chrono::seconds(5);
     CHECK(consumeAll() == 0);
     now += std::chrono::seconds(6);
     CHECK(consumeAll() == 3);
   }
+  SUBCASE("grants what other holders have counted and not granted")
+  {
+    budget.SetElsewhere(1, { 100, 10 }, true, now);
+    budget.SetElsewhere(2, { 100, 10 }, true, now);
+    budget.SetElsewhere(3, { 0, 0 }, true, now);
+    budget.SetElsewhere(4, { 0, 0 }, true, now);
+    CHECK(consumeAll() == 19);
+    SUBCASE("until the window has passed")
+    {
+      now += std::chrono::seconds(11);
+      CHECK(consumeAll() == 3);
+    }
+  }
+  SUBCASE("takes hosts that do not know what they had spent to owe as much as the others")
+  {
+    count(500);
+    budget.SetElsewhere(1, { 100, 38 }, true, now);
+    budget.SetElsewhere(2, { 100, 38 }, true, now);
+    budget.SetElsewhere(3, { 0, 0 }, false, now);
+    CHECK(consumeAll() == 90 + 1 - 80);
+  }
+  SUBCASE("does not take them to have left as much as the others")
+  {
+    budget.SetElsewhere(1, { 100, 0 }, true, now);
+    CHECK(consumeAll() == 18);
+  }
+  SUBCASE("does not count old reports of requests, some of which have left the window")
+  {
+    budget.SetElsewhere(1, { 100, 5 }, true, now);
+    now += std::chrono::seconds(3);
+    count(200);
+    CHECK(consumeAll() == 36 - 4 * 5);
+  }
+  SUBCASE("is empty while nobody knows what an earlier process has granted")
+  {
+    budget.SetStart(now);
+    count(100);
+    budget.SetElsewhere(1, { 100, 0 }, false, now);
+    CHECK(consumeAll() == 0);
+    SUBCASE("but not when a host that has run for a window tells")
+    {
+      budget.SetElsewhere(2, { 0, 0 }, true, now);
+      CHECK(consumeAll() > 0);
+    }
+    SUBCASE("nor after a window")
+    {
+      now += std::chrono::seconds(11);
+      count(100);
+      CHECK(consumeAll() > 0);
+    }
+  }
+}
+
+TEST_CASE("the retry budget of an allocator")
+{
+  SlotAllocatorInit init;
+  int granted = 0;
+  init.onGrant = [&](const Grant&) { ++granted; };
+  init.onRefusal = [](const Refusal&) {};
+  init.retries = { 0.2, 40, std::chrono::seconds(10) };
+  SlotAllocator allocator(init);
+  TimePoint now{ std::chrono::hours(1) };
+  const UpstreamSlots upstream{ "one", "a", 5000 };
+  allocator.SetUpstreams({ &upstream, 1 }, now, 1);
+  uint64_t sequence = 0;
+  const auto send = [&](int aCount, bool aIsRetry, bool aIsCounted) {
+    granted = 0;
+    for (int i = 0; i < aCount; ++i) {
+      SlotRequest request;
+      request.lease = { 1, ++sequence };
+      request.isRetry = aIsRetry;
+      request.isCounted = aIsCounted;
+      request.receivedAt = now;
+      request.deadline = now + std::chrono::seconds(5);
+      allocator.Request(request, now);
+    }
+    return granted;
+  };
+  SUBCASE("is its part of the slack")
+  {
+    CHECK(send(60, true, false) == 36);
+  }
+  SUBCASE("which is that of the hosts that use it")
+  {
+    allocator.SetReach(20, 40);
+    CHECK(send(60, true, false) == 18);
+  }
+  SUBCASE("is not charged for a retry that another holder has granted")
+  {
+    CHECK(send(60, true, true) == 60);
+    CHECK(send(60, true, false) == 36);
+  }
+  SUBCASE("counts no request that another holder has counted")
+  {
+    send(500, false, true);
+    CHECK(send(60, true, false) == 36);
+    send(50, false, false);
+    CHECK(send(60, true, false) == 9);
+  }
 }
 
 TEST_CASE("an upstream that does not answer")
