Upstream: a response that was given up is never complete

Cause: when responses exceed the memory for bodies, the largest is given up: its bytes are dropped, and its transfer is stopped after the current call of curl. The reader went on meanwhile, and a response that ended within the same call was a success. It could also be the response that asked for room.

Ruled out: damaged or truncated responses (the upstreams are sound, the case has no kill and no cut).

A reader with a problem now takes no bytes and is never complete, whatever curl reports.

--- a/packages/upstream/src/response_reader.cpp
+++ b/packages/upstream/src/response_reader.cpp
@@ -167,8 +167,8 @@
   const size_t capacity = std::min(maxBytes_, std::max(needed, reservedBytes_ * 3 / 2));
   // Both buffers exist while the bytes are copied.
   while (!reservation_->Reserve(capacity)) {
-    if (!makeRoom_ || !makeRoom_()) {
-      return false;
+    if (!makeRoom_ || !makeRoom_() || problem_ != Problem::None) {
+      return false; // Without room, or this response was chosen to make some.
     }
   }
   body_.reserve(capacity);
@@ -274,7 +274,7 @@
 
 bool ResponseReader::IsComplete() const
 {
-  if (!IsHeadComplete()) {
+  if (problem_ != Problem::None || !IsHeadComplete()) {
     return false;
   }
   if (IsBodiless()) {
@@ -285,6 +285,9 @@
 
 bool ResponseReader::AddBody(std::string_view aBytes)
 {
+  if (problem_ != Problem::None) {
+    return false;
+  }
   if (!IsHeadComplete()) {
     return Fail(Problem::Malformed);
   }
--- a/packages/upstream/tests/framing_test.cpp
+++ b/packages/upstream/tests/framing_test.cpp
@@ -150,3 +150,49 @@
         UpstreamFailure::None);
   CHECK(FetchClosed("HTTP/1.1 204 No Content\r\n\r\n").failure == UpstreamFailure::None);
 }
+
+// A response is given up while curl delivers others, and may end before the transfer is stopped.
+TEST_CASE("a response that was given up is never complete")
+{
+  const std::string_view heads[][3] = {
+    { "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n", "\r\n" },
+    { "HTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "\r\n" },
+    { "HTTP/1.1 200 OK\r\n", "X: y\r\n", "\r\n" },
+  };
+  const std::string_view bodies[] = { "3\r\nabc\r\n0\r\n\r\n", "abc", "abc" };
+  for (size_t i = 0; i < std::size(heads); ++i) {
+    for (size_t given = 0; given < bodies[i].size(); ++given) {
+      CAPTURE(heads[i][1]);
+      CAPTURE(given);
+      ResponseReader reader;
+      reader.Start(false, 1000, nullptr, nullptr);
+      for (const std::string_view line : heads[i]) {
+        REQUIRE(reader.AddHeaderLine(line));
+      }
+      REQUIRE(reader.AddBody(bodies[i].substr(0, given)));
+      reader.Abandon();
+      CHECK_FALSE(reader.AddBody(bodies[i].substr(given)));
+      CHECK_FALSE(reader.IsComplete());
+      CHECK(reader.Failure() == ResponseReader::Problem::TooLarge);
+      CHECK(reader.BodyBytes() == 0);
+    }
+  }
+}
+
+TEST_CASE("a response that is chosen to make room for itself is never complete")
+{
+  const auto budget = std::make_shared<ByteBudget>(8);
+  ResponseReader reader;
+  reader.Start(false, 1000, budget, [&] {
+    reader.Abandon();
+    return true;
+  });
+  REQUIRE(reader.AddHeaderLine("HTTP/1.1 200 OK\r\n"));
+  REQUIRE(reader.AddHeaderLine("\r\n"));
+  REQUIRE(reader.AddBody("abcd"));
+  CHECK_FALSE(reader.AddBody("efgh"));
+  CHECK_FALSE(reader.IsComplete());
+  CHECK(reader.BodyBytes() == 0);
+  reader.TakeReservation().reset();
+  CHECK(ByteReservation(budget).Reserve(8));
+}
