--- a/tests/programs/link_standin.cpp
+++ b/tests/programs/link_standin.cpp
@@ -157,9 +157,7 @@
     : loop_(aLoop)
     , acceptor_(aLoop.Context(), tcp::endpoint(asio::ip::address_v4::loopback(), aPort))
   {
-    const size_t colon = aTarget.rfind(':');
-    target_ = tcp::endpoint(asio::ip::make_address(aTarget.substr(0, colon)),
-                            static_cast<uint16_t>(std::stoi(aTarget.substr(colon + 1))));
+    SetTarget(aTarget);
     Accept();
   }
 
@@ -180,6 +178,9 @@
     if (aBody.value("reset", false)) {
       CloseAll(true);
     }
+    if (aBody.contains("target")) { // Open connections go on to the target before.
+      SetTarget(aBody["target"]);
+    }
     const std::string half = aBody.value("half_close", "");
     for (const auto& pair : Open()) {
       std::error_code ignored;
@@ -201,6 +202,13 @@
     std::weak_ptr<tcp::socket> target;
   };
 
+  void SetTarget(const std::string& aTarget)
+  {
+    const size_t colon = aTarget.rfind(':');
+    target_ = tcp::endpoint(asio::ip::make_address(aTarget.substr(0, colon)),
+                            static_cast<uint16_t>(std::stoi(aTarget.substr(colon + 1))));
+  }
+
   static int64_t Count(Duration aDuration)
   {
     return std::chrono::duration_cast<Milliseconds>(aDuration).count();
