Fleet, overlay: a change is in time when the hosts that spread it were killed (CONFIG)

Cause: hosts take over the reading of the store 0.12 s apart in an order that has dead hosts in it, and a change goes to two hosts of each other failure domain, which waits for the next read if both are dead. Each wait fits the bound, their sum does not.

Ruled out as sources of a late change, with 17 runs of config_soak.py: storms of changes, splits, time-outs, 1,000 routes at once, refused, silent, slow and forgetful stores, paused and joining hosts, starts spread over 6 s, spent processors.

While nobody is heard, the number of hosts that may read now doubles with each step; a change of the configuration goes to five hosts of each other domain.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -211,6 +211,7 @@
   void AskPeerForState(TimePoint aNow);
   void ReadStore(TimePoint aNow);
   void ReadAtStart(TimePoint aNow);
+  ReadSchedule::Contact PeerContact(TimePoint aNow) const;
 
   bool AwaitsPeerState(TimePoint aNow) const;
   bool IsReady() const;
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -276,7 +276,7 @@
                              std::span<const std::string> aJoined)
 {
   if (registry_.HasState()) {
-    SendView(spreader_->SourceTargets(Now()),
+    SendView(spreader_->SourceTargets(Now(), aWithConfiguration),
              &aChange,
              aWithConfiguration ? SharedChange() : nullptr,
              aJoined);
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -64,7 +64,7 @@
     CheckRegistration();
   }
   const Duration delay =
-    schedule_.ReadDelay(spreader_->Tree().Order(), isReader_, !spreader_->IsConnected(aNow));
+    schedule_.ReadDelay(spreader_->Tree().Order(), isReader_, PeerContact(aNow));
   if (aNow >= schedule_.NextRead(delay, registry_.FreshAt(), lastStoreFailure_, storeFailures_)) {
     ReadUpstreams();
   }
@@ -79,6 +79,15 @@
   }
 }
 
+ReadSchedule::Contact FleetControl::PeerContact(TimePoint aNow) const
+{
+  if (!spreader_->IsConnected(aNow)) {
+    return ReadSchedule::Contact::Isolated;
+  }
+  return aNow - receivedViewAt_ > schedule_.SilenceLimit() ? ReadSchedule::Contact::Silent
+                                                           : ReadSchedule::Contact::Recent;
+}
+
 /// Reads the tables of which this host has no state yet. When all hosts start together, the hosts
 /// of the lowest ranks read first and share the state, which spares the others the reads.
 void FleetControl::ReadAtStart(TimePoint aNow)
--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 #include "registry_p.h"
@@ -7,6 +8,10 @@
 
 namespace {
 
+/// Hosts that read the store without waiting for each one before them while nobody is heard. The
+/// others call it later, so that not all of them do while it is unavailable.
+constexpr size_t kMaxSilentReaders = 31;
+
 /// Whether two reports are equal apart from the sequence number and the remaining warm-up time.
 bool HasSameState(const RegisteredUpstream& aLeft, const RegisteredUpstream& aRight)
 {
@@ -268,13 +273,16 @@
   return found == warmupEnd_.end() ? TimePoint{} : found->second;
 }
 
-Duration ReadSchedule::ReadDelay(size_t aOrder, bool aIsReader, bool aIsIsolated) const
+Duration ReadSchedule::ReadDelay(size_t aOrder, bool aIsReader, Contact aContact) const
 {
   if (aIsReader) {
     return Duration(0);
   }
   const Duration delay = orderStep * static_cast<int64_t>(aOrder + 1);
-  return aIsIsolated ? std::min(delay, isolatedDelay) : delay;
+  if (aContact != Contact::Recent && aOrder < kMaxSilentReaders) {
+    return orderStep * std::bit_width(aOrder + 1);
+  }
+  return aContact == Contact::Isolated ? std::min(delay, isolatedDelay) : delay;
 }
 
 TimePoint ReadSchedule::NextRead(Duration aDelay,
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -152,10 +152,23 @@
   Duration minRetryDelay = Milliseconds(400); ///< After a failure; doubles with each further one.
   Duration maxRetryDelay = Milliseconds(1600);
 
-  /// Time that a host waits for the state of others, beyond the interval.
+  /// What a host has received from its peers.
+  enum class Contact
+  {
+    Recent,   ///< State, since the host that reads should have read again.
+    Silent,   ///< No state since then: the hosts that come first have probably stopped.
+    Isolated, ///< Nothing for so long that this host may be cut off from the others.
+
+    Count
+  };
+  /// Time that a host waits for the state of others, beyond the interval. While nobody is heard,
+  /// the number of hosts that may read doubles with each step, so that the loss of many of the
+  /// first hosts delays a change by a few steps only.
   /// @param aOrder Position of the host among all hosts of the fleet.
   /// @param aIsReader Whether it was the last one to read the store.
-  Duration ReadDelay(size_t aOrder, bool aIsReader, bool aIsIsolated) const;
+  Duration ReadDelay(size_t aOrder, bool aIsReader, Contact aContact) const;
+  /// Time without state after which a host counts as Contact::Silent.
+  Duration SilenceLimit() const { return interval + orderStep; }
   /// Time of the next read.
   /// @param aLastFresh When the state was last confirmed.
   /// @param aFailures Failures since the last successful read.
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -446,23 +446,35 @@
 
 TEST_CASE("the schedule of store reads")
 {
+  using Contact = ReadSchedule::Contact;
   const ReadSchedule schedule;
   SUBCASE("lets the host that read last read on, and the others in their order if it does not")
   {
-    CHECK(schedule.ReadDelay(7, true, false) == Duration(0));
-    CHECK(schedule.ReadDelay(0, false, false) == schedule.orderStep);
-    CHECK(schedule.ReadDelay(2, false, false) == 3 * schedule.orderStep);
-    CHECK(schedule.NextRead(schedule.ReadDelay(0, false, false), kStart, {}, 0) ==
+    CHECK(schedule.ReadDelay(7, true, Contact::Recent) == Duration(0));
+    CHECK(schedule.ReadDelay(0, false, Contact::Recent) == schedule.orderStep);
+    CHECK(schedule.ReadDelay(2, false, Contact::Recent) == 3 * schedule.orderStep);
+    CHECK(schedule.NextRead(schedule.ReadDelay(0, false, Contact::Recent), kStart, {}, 0) ==
           kStart + schedule.interval + schedule.orderStep);
   }
   SUBCASE("delays the reads of most hosts while they hear from others")
   {
     // Otherwise all hosts call the store while it is unavailable.
-    CHECK(schedule.ReadDelay(60, false, false) >= 2 * schedule.isolatedDelay);
+    CHECK(schedule.ReadDelay(60, false, Contact::Recent) >= 2 * schedule.isolatedDelay);
+  }
+  SUBCASE("lets more and more hosts read while nobody is heard")
+  {
+    // Otherwise a change waits for each of the first hosts that were killed, and is late with
+    // eight.
+    CHECK(schedule.ReadDelay(0, false, Contact::Silent) == schedule.orderStep);
+    CHECK(schedule.ReadDelay(2, false, Contact::Silent) == 2 * schedule.orderStep);
+    CHECK(schedule.ReadDelay(8, false, Contact::Silent) == 4 * schedule.orderStep);
+    CHECK(schedule.ReadDelay(30, false, Contact::Silent) <= Milliseconds(600));
+    CHECK(schedule.ReadDelay(30, false, Contact::Isolated) <= Milliseconds(600));
+    CHECK(schedule.ReadDelay(60, false, Contact::Silent) >= 2 * schedule.isolatedDelay);
   }
   SUBCASE("lets a host that is cut off from the others read before its state is too old")
   {
-    CHECK(schedule.ReadDelay(400, false, true) == schedule.isolatedDelay);
+    CHECK(schedule.ReadDelay(400, false, Contact::Isolated) == schedule.isolatedDelay);
   }
   SUBCASE("backs off exponentially after failures, up to a limit")
   {
--- a/packages/overlay/include/boragegauge/overlay.h
+++ b/packages/overlay/include/boragegauge/overlay.h
@@ -94,7 +94,9 @@
   const DisseminationTree& Tree() const { return tree_; }
 
   /// Receivers of state that this host has read from the store.
-  std::vector<std::string> SourceTargets(TimePoint aNow);
+  /// @param aIsUrgent More hosts of the other failure domains are among them, some of which may be
+  /// lost.
+  std::vector<std::string> SourceTargets(TimePoint aNow, bool aIsUrgent = false);
   /// Records state from a peer. @return Hosts to pass it on to.
   /// @param aIsNews The state differs from that of this host, or is fresher.
   std::vector<std::string> OnReceived(std::string_view aSender,
--- a/packages/overlay/src/spreader.cpp
+++ b/packages/overlay/src/spreader.cpp
@@ -11,6 +11,8 @@
 /// Requests that bring no news after which the interval between them doubles, and how often.
 constexpr uint32_t kAsksPerBackoff = 8;
 constexpr uint32_t kMaxBackoffs = 3;
+/// Rounds of contacts that get urgent state at once.
+constexpr uint64_t kUrgentRounds = 4;
 
 } // namespace
 
@@ -32,13 +34,15 @@
   return aHosts;
 }
 
-std::vector<std::string> Spreader::SourceTargets(TimePoint aNow)
+std::vector<std::string> Spreader::SourceTargets(TimePoint aNow, bool aIsUrgent)
 {
   lastForwardedAt_ = aNow;
   std::vector<std::string> hosts = tree_.Heads();
   hosts.insert(hosts.end(), tree_.Children().begin(), tree_.Children().end());
-  for (std::string& contact : tree_.Contacts(++round_)) {
-    hosts.push_back(std::move(contact));
+  for (uint64_t left = aIsUrgent ? kUrgentRounds : 1; left > 0; --left) {
+    for (std::string& contact : tree_.Contacts(++round_)) {
+      hosts.push_back(std::move(contact));
+    }
   }
   return WithFollowers(std::move(hosts), aNow);
 }
--- a/packages/overlay/tests/spreader_test.cpp
+++ b/packages/overlay/tests/spreader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 #include <queue>
 #include <random>
 #include <set>
@@ -271,3 +272,28 @@
   CHECK(spreader.ForwardTargets("a", now).size() == children);
   CHECK(spreader.ForwardTargets("b", now).size() >= spreader.Tree().Heads().size());
 }
+
+// With two contacts, a domain misses a change until the next read when both were killed.
+TEST_CASE("urgent state goes to more hosts of each other domain")
+{
+  const TimePoint now{ std::chrono::hours(1) };
+  Spreader spreader({ .tree = { "host0", "domain0" } });
+  std::map<std::string, std::string> domainOf;
+  for (int i = 1; i < 60; ++i) {
+    const std::string host = "host" + std::to_string(i);
+    domainOf[host] = "domain" + std::to_string(i % 3);
+    spreader.Tree().Add(host, domainOf[host]);
+  }
+  const auto count = [&](const std::vector<std::string>& aHosts, const std::string& aDomain) {
+    return std::count_if(aHosts.begin(), aHosts.end(), [&](const std::string& aHost) {
+      return domainOf[aHost] == aDomain;
+    });
+  };
+  const auto usual = spreader.SourceTargets(now);
+  const auto urgent = spreader.SourceTargets(now, true);
+  for (const char* domain : { "domain1", "domain2" }) {
+    CHECK(count(usual, domain) == 2);
+    CHECK(count(urgent, domain) == 5);
+  }
+  CHECK(count(usual, "domain0") == count(urgent, "domain0"));
+}
