--- a/packages/upstream/tests/framing_test.cpp
+++ b/packages/upstream/tests/framing_test.cpp
@@ -65,7 +65,10 @@
                                       "3e0",
                                       "" }) {
       CAPTURE(length);
-      const auto result = FetchClosed(ok + "Content-Length: " + length + "\r\n\r\nabc");
+      std::string response = ok + "Content-Length: ";
+      response += length;
+      response += "\r\n\r\nabc";
+      const auto result = FetchClosed(response);
       CHECK(result.failure == UpstreamFailure::Protocol);
     }
     CHECK(FetchClosed(ok + "Content-Length: 3\r\nContent-Length: 3x\r\n\r\nabc").failure ==
