Observability of changes: control delay, backlog of messages, age at each request

attempt_failed and request_failed name revision and confirmed_ms; configuration_adopted names confirmed_ms, backlog_ms and activation_ms; control_delayed and peer_messages_dropped are new. Metrics: revision and age of the configuration, dropped messages, a histogram of the control delay.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -14,6 +14,11 @@
 constexpr Duration kConfirmationTimeout = std::chrono::seconds(1);
 /// Longest wait of a host that starts for the state of a peer, besides that of the store.
 constexpr Duration kPeerStateTimeout = Milliseconds(300);
+/// A control thread that is late by this much is logged, no more often than the interval.
+constexpr Duration kLoggedControlDelay = Milliseconds(250);
+constexpr Duration kControlDelayLogInterval = std::chrono::seconds(1);
+/// Messages to peers that were dropped are logged no more often than this.
+constexpr Duration kDropLogInterval = std::chrono::seconds(5);
 
 } // namespace
 
@@ -177,6 +182,8 @@
 void FleetControl::Tick()
 {
   const TimePoint now = Now();
+  RecordControlDelay(now);
+  LogDroppedMessages(now);
   RevalidateAfterPause(now);
   slots_->Tick(now);
   quota_->Tick(now);
@@ -200,6 +207,44 @@
   }
 }
 
+void FleetControl::RecordControlDelay(TimePoint aNow)
+{
+  const Duration delay = std::max(aNow - lastTick_ - kTickInterval, Duration(0));
+  if (shared_.onControlDelay) {
+    shared_.onControlDelay(delay);
+  }
+  const Duration backlog = transport_->Stats().receiveBacklog;
+  if (std::max(delay, backlog) < kLoggedControlDelay ||
+      aNow - lastDelayLog_ < kControlDelayLogInterval) {
+    return;
+  }
+  lastDelayLog_ = aNow;
+  Log(LogLevel::Warning,
+      "control_delayed",
+      { { "delay_ms", delay / Milliseconds(1) },
+        { "backlog_ms", backlog / Milliseconds(1) },
+        { "revision", revision_ },
+        { "confirmed_ms", (aNow - configurationFreshAt_) / Milliseconds(1) } });
+}
+
+void FleetControl::LogDroppedMessages(TimePoint aNow)
+{
+  const uint64_t dropped = transport_->Stats().dropped;
+  if (dropped == loggedDrops_ || aNow - lastDropLog_ < kDropLogInterval) {
+    return;
+  }
+  lastDropLog_ = aNow;
+  Log(LogLevel::Warning,
+      "peer_messages_dropped",
+      { { "count", dropped - std::exchange(loggedDrops_, dropped) },
+        { "reason", "no connection to the host, or its queue is full" } });
+}
+
+ConfigurationMetrics FleetControl::ConfigurationState() const
+{
+  return { revision_, Now() - configurationFreshAt_, transport_->Stats().dropped };
+}
+
 /// After a pause of the process, requests wait until the store or a peer has confirmed the state
 /// that was read before the pause, or until kConfirmationTimeout.
 void FleetControl::RevalidateAfterPause(TimePoint aNow)
--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -110,7 +110,7 @@
     return; // A late response, possibly from before a restore of the store.
   }
   configurationRead_ = aRows->position;
-  configurationFreshAt_ = Now();
+  ConfirmConfiguration(Now());
   const StoreRow* newest = nullptr;
   for (const StoreRow& row : aRows->rows) {
     const bool isConfigurationRow = row.key == platform_.configurationKey && !row.isDeleted;
@@ -128,6 +128,12 @@
   ShareView({}, isNew);
 }
 
+void FleetControl::ConfirmConfiguration(TimePoint aFreshAt)
+{
+  configurationFreshAt_ = std::max(configurationFreshAt_, aFreshAt);
+  shared_.configurationFreshAt = configurationFreshAt_;
+}
+
 bool FleetControl::IsWanted(const ConfigurationId& aId) const
 {
   return aId.IsNewerThan(document_.Id()) && !aId.HasSameText(document_.Id()) &&
@@ -186,6 +192,7 @@
   if (aPosition == document_.Id().position || rejected_.contains(aPosition)) {
     return false;
   }
+  const TimePoint startedAt = Now();
   auto configuration = platform_.parseConfiguration(aDocument);
   if (!configuration) {
     Log(LogLevel::Error,
@@ -218,10 +225,10 @@
   }
   const Duration lag = ConfigurationLag(Now());
   revision_ = configuration->revision;
-  activatedAt_ = Now();
   document_.Replace(id, std::move(aDocument), aReceived);
   shared_.routes.store(std::make_shared<const RouteTable>(
     std::make_shared<const FleetConfiguration>(std::move(*configuration))));
+  activatedAt_ = Now();
   Log(LogLevel::Info,
       "configuration_adopted",
       { { "revision", revision_ },
@@ -230,7 +237,10 @@
         { "source", aSource },
         { "routes", shared_.routes.load()->Configuration().routes.size() },
         { "accounts", shared_.routes.load()->Configuration().accounts.size() },
-        { "lag_ms", lag / Milliseconds(1) } });
+        { "lag_ms", lag / Milliseconds(1) },
+        { "confirmed_ms", (startedAt - configurationFreshAt_) / Milliseconds(1) },
+        { "backlog_ms", transport_->Stats().receiveBacklog / Milliseconds(1) },
+        { "activation_ms", (activatedAt_ - startedAt) / Milliseconds(1) } });
   if (shared_.onRoutes) {
     shared_.onRoutes();
   }
@@ -329,8 +339,7 @@
   const TimePoint now = Now();
   if (ActivateFromPeer(
         FromWire(configuration.id()), configuration.document(), aMessage.sender().host())) {
-    configurationFreshAt_ =
-      std::max(configurationFreshAt_, now - Milliseconds(configuration.age_ms()));
+    ConfirmConfiguration(now - Milliseconds(configuration.age_ms()));
     ForwardConfiguration(now);
   }
 }
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -46,6 +46,8 @@
   /// False from the end of a pause of the process until the store or a peer has confirmed the state
   /// of this host. New requests wait while it is false.
   std::atomic<bool> isStateConfirmed{ true };
+  /// When the active configuration was last known to be the newest one.
+  std::atomic<TimePoint> configurationFreshAt{};
   /// The other hosts that send requests for this one; null until they are known.
   std::atomic<std::shared_ptr<const relay::RelayPeers>> relayPeers;
   /// Null if this host does not relay, or knows no upstreams yet.
@@ -59,6 +61,9 @@
   /// Called on the control thread with the bytes of each message to a host of another failure
   /// domain; may be null. Must be set before the control thread starts.
   std::function<void(std::string_view aDomain, DomainBytesKind aKind, size_t aBytes)> onDomainBytes;
+  /// Called on the control thread with the time by which it is late for its regular work; may be
+  /// null. Must be set before the control thread starts.
+  std::function<void(Duration aDelay)> onControlDelay;
 };
 
 /// Control thread of a host: reads the store, exchanges the state with its peers and acquires slots
@@ -111,6 +116,8 @@
   /// Control thread only, like StoreEpoch().
   const MeteredStore::Counts& StoreCallCounts() const { return store_->Calls(); }
   uint64_t StoreEpoch() const { return storeEpoch_.value_or(0); }
+  /// Control thread only.
+  ConfigurationMetrics ConfigurationState() const;
   /// Sets the source of the metrics page, which is called on the control thread. Must be set before
   /// Start().
   void SetMetrics(std::function<std::string()> aMetrics) { metrics_ = std::move(aMetrics); }
@@ -120,6 +127,11 @@
   QuotaClientInit MakeQuotaInit();
   /// Whether a configuration contains accounts with a quota.
   bool HasQuotas(const std::shared_ptr<const RouteTable>& aRoutes);
+  /// Counts and logs by how much the control thread is late.
+  void RecordControlDelay(TimePoint aNow);
+  void LogDroppedMessages(TimePoint aNow);
+  /// Records that the active configuration was the newest one at a time.
+  void ConfirmConfiguration(TimePoint aFreshAt);
   void RevalidateAfterPause(TimePoint aNow);
   void Register();
   TimePoint MembersReadStart() const;
@@ -323,6 +335,9 @@
   TimePoint nextMembersRead_{};
   TimePoint startedAt_{};
   TimePoint lastTick_{};
+  TimePoint lastDelayLog_{};
+  uint64_t loggedDrops_ = 0; ///< Messages to peers that were dropped, as of the last line.
+  TimePoint lastDropLog_{};
   TimePoint receivedViewAt_{}; ///< Of the last view of a peer.
   TimePoint resumedAt_{};      ///< End of the last pause of the process.
   uint32_t storeFailures_ = 0; ///< Failed calls to the store since the last successful read.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -404,8 +404,7 @@
     FetchConfiguration(now);
   } else if (revision_ != 0 && configuration.HasSameText(document_.Id())) {
     RebaseConfiguration(configuration.position, host);
-    configurationFreshAt_ =
-      std::max(configurationFreshAt_, now - Milliseconds(view.configuration_age_ms()));
+    ConfirmConfiguration(now - Milliseconds(view.configuration_age_ms()));
   } else {
     CorrectConfiguration(configuration, host, now);
   }
--- a/packages/fleet/src/fleet.cpp
+++ b/packages/fleet/src/fleet.cpp
@@ -84,6 +84,7 @@
     [&metrics](std::string_view aDomain, DomainBytesKind aKind, size_t aBytes) {
       metrics.RecordDomainBytes(aDomain, aKind, aBytes);
     };
+  shared.onControlDelay = [&metrics](Duration aDelay) { metrics.RecordControlDelay(aDelay); };
   FleetControl control(aInit, shared);
   control.SetMetrics([&] {
     metrics.SetLimitedUpstreams(control.LimitedUpstreams());
@@ -93,6 +94,7 @@
     metrics.SetQueues(control.Queues());
     metrics.SetQuarantinedRequests(control.QuarantinedRequests());
     metrics.SetQuotas(control.QuotaStats());
+    metrics.SetConfiguration(control.ConfigurationState());
     metrics.SetStoreCalls(control.StoreCallCounts(), control.StoreEpoch());
     return metrics.Expose();
   });
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -17,6 +17,9 @@
 /// Upper bounds of the latency buckets in seconds.
 const prometheus::Histogram::BucketBoundaries kLatencyBounds = { 0.05, 0.1, 0.2, 0.4, 0.6,
                                                                  0.8,  1,   1.5, 2,   4 };
+/// Upper bounds of the buckets of the delay of the control thread in seconds.
+const prometheus::Histogram::BucketBoundaries kDelayBounds = { 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                               0.5,  1,     2,    4 };
 
 } // namespace
 
@@ -155,6 +158,30 @@
                                             .Register(registry)
                                             .Add({});
 
+  prometheus::Gauge& configurationRevision = prometheus::BuildGauge()
+                                               .Name("boragegauge_fleet_configuration_revision")
+                                               .Help("Revision of the active configuration")
+                                               .Register(registry)
+                                               .Add({});
+  prometheus::Gauge& configurationAge =
+    prometheus::BuildGauge()
+      .Name("boragegauge_fleet_configuration_age_seconds")
+      .Help("Time since the active configuration was last known to be the newest one")
+      .Register(registry)
+      .Add({});
+  prometheus::Counter& peerMessagesDropped =
+    prometheus::BuildCounter()
+      .Name("boragegauge_fleet_peer_messages_dropped_total")
+      .Help("Messages to hosts without a connection or with a full queue")
+      .Register(registry)
+      .Add({});
+  prometheus::Histogram& controlDelay =
+    prometheus::BuildHistogram()
+      .Name("boragegauge_fleet_control_delay_seconds")
+      .Help("Time by which the control thread is late for its regular work")
+      .Register(registry)
+      .Add({}, kDelayBounds);
+
   static void SetTotal(prometheus::Counter& aCounter, uint64_t aTotal)
   {
     aCounter.Increment(static_cast<double>(aTotal) - aCounter.Value());
@@ -327,6 +354,18 @@
   impl_->quotaOwnersAvoided.Set(static_cast<double>(aStats.avoidedOwners));
 }
 
+void FleetMetrics::SetConfiguration(const ConfigurationMetrics& aMetrics)
+{
+  impl_->configurationRevision.Set(static_cast<double>(aMetrics.revision));
+  impl_->configurationAge.Set(std::chrono::duration<double>(aMetrics.age).count());
+  Impl::SetTotal(impl_->peerMessagesDropped, aMetrics.droppedMessages);
+}
+
+void FleetMetrics::RecordControlDelay(Duration aDelay)
+{
+  impl_->controlDelay.Observe(std::chrono::duration<double>(aDelay).count());
+}
+
 std::string FleetMetrics::Expose() const
 {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
--- a/packages/fleet/src/metrics_p.h
+++ b/packages/fleet/src/metrics_p.h
@@ -34,6 +34,14 @@
 
 std::string_view ToString(DomainBytesKind aKind);
 
+/// What metrics say of the configuration of a host and of the messages that bring it.
+struct ConfigurationMetrics
+{
+  uint64_t revision = 0;
+  Duration age{ 0 };            ///< Since the configuration was last known to be the newest one.
+  uint64_t droppedMessages = 0; ///< To peers, since the start.
+};
+
 /// Prometheus metrics of a host. The label values are bounded: services, failure domains, two
 /// request classes, fixed outcomes and kMaxAccountLabels client accounts. Thread-safe.
 class FleetMetrics
@@ -81,6 +89,9 @@
   void SetQueues(const QueueMetrics& aMetrics);
   /// Sets the calls to the store so far, and its epoch.
   void SetStoreCalls(const MeteredStore::Counts& aCalls, uint64_t aEpoch);
+  void SetConfiguration(const ConfigurationMetrics& aMetrics);
+  /// Records by how much the control thread was late for its regular work.
+  void RecordControlDelay(Duration aDelay);
   /// All metrics in the text exposition format.
   std::string Expose() const;
 
--- a/packages/fleet/src/session.cpp
+++ b/packages/fleet/src/session.cpp
@@ -72,6 +72,7 @@
 
 bool FleetSession::SelectRoute()
 {
+  confirmedAt_ = traffic_.Shared().configurationFreshAt;
   routes_ = traffic_.Shared().routes.load();
   if (!routes_) {
     Fail(503, "no_configuration", "this host has no configuration yet", kStartupRetryAfter);
@@ -404,6 +405,7 @@
         { "account", account_ ? std::string_view(account_->name) : "" },
         { "fingerprint", FormatFingerprint(fingerprint_) },
         { "revision", routes_ ? routes_->Configuration().revision : 0 },
+        { "confirmed_ms", routes_ ? ToMilliseconds(receivedAt_ - confirmedAt_) : 0 },
         { "attempts", attempts_ },
         { "unreachable", unreachableCount_ },
         { "held_ms", ToMilliseconds(Now() - receivedAt_) },
--- a/packages/fleet/src/session_attempt.cpp
+++ b/packages/fleet/src/session_attempt.cpp
@@ -94,6 +94,8 @@
           { "outcome", ToString(aOutcome) },
           { "fingerprint", FormatFingerprint(fingerprint_) },
           { "latency_ms", ToMilliseconds(latency) },
+          { "revision", routes_->Configuration().revision },
+          { "confirmed_ms", ToMilliseconds(sentAt_ - confirmedAt_) },
           { "peer", relay_ },
           { "detail", aDetail } });
   }
--- a/packages/fleet/src/session_p.h
+++ b/packages/fleet/src/session_p.h
@@ -216,6 +216,7 @@
   uint64_t fingerprint_; ///< See RequestFingerprint().
   bool isFingerprintCurrent_ = true;
   std::shared_ptr<const RouteTable> routes_; ///< Keeps the route alive.
+  TimePoint confirmedAt_{}; ///< When routes_ were last known to be the newest ones, at routing.
   const FleetRoute* route_ = nullptr;
   std::shared_ptr<const ClientAccount> account_;    ///< Null: the request belongs to none.
   std::shared_ptr<const RouteTable> accountRoutes_; ///< By which account_ was last determined.
--- a/packages/peering/include/boragegauge/peering.h
+++ b/packages/peering/include/boragegauge/peering.h
@@ -17,6 +17,9 @@
   uint64_t bytesReceived = 0;
   uint64_t dropped = 0; ///< Messages not sent: the peer is unknown or not connected, its
                         ///< queue is full, or the message exceeds kMaxPeerMessageBytes.
+  /// For how long there have been received messages without a break, not counting the time that
+  /// the loop needed to notice the first one. A message that is handled now has waited no longer.
+  Duration receiveBacklog{ 0 };
 };
 
 /// Sends and receives datagram-like messages between proxies. Messages may be lost, and there is no
--- a/packages/peering/src/zmq_transport.cpp
+++ b/packages/peering/src/zmq_transport.cpp
@@ -1,5 +1,6 @@
 #include <cerrno>
 #include <map>
+#include <optional>
 
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
@@ -108,6 +109,7 @@
     descriptor_.async_wait(asio::posix::descriptor_base::wait_read,
                            [self = shared_from_this()](const std::error_code& aError) {
                              if (!aError && !self->isClosed_) {
+                               self->backlogSince_ = Now();
                                self->ReceiveBatch();
                              }
                            });
@@ -123,6 +125,7 @@
 
   uint64_t MessagesReceived() const { return messagesReceived_; }
   uint64_t BytesReceived() const { return bytesReceived_; }
+  Duration Backlog() const { return backlogSince_ ? Now() - *backlogSince_ : Duration(0); }
 
 private:
   /// Receives up to kReceiveBatchSize messages, then yields to the loop. The descriptor is
@@ -131,6 +134,7 @@
   {
     for (int i = 0; i < kReceiveBatchSize; ++i) {
       if (!ReceiveMessage()) {
+        backlogSince_.reset();
         if (!isClosed_) {
           WaitReadable();
         }
@@ -176,6 +180,7 @@
   std::function<void(std::string_view)> onMessage_;
   uint64_t messagesReceived_ = 0;
   uint64_t bytesReceived_ = 0;
+  std::optional<TimePoint> backlogSince_; ///< Start of a series of messages that has not ended.
   bool isClosed_ = false;
 };
 
@@ -253,11 +258,9 @@
 
   PeerTransportStats Stats() const override
   {
-    return { messagesSent_,
-             receiver_->MessagesReceived(),
-             bytesSent_,
-             receiver_->BytesReceived(),
-             messagesDropped_ };
+    return { messagesSent_,    receiver_->MessagesReceived(),
+             bytesSent_,       receiver_->BytesReceived(),
+             messagesDropped_, receiver_->Backlog() };
   }
 
 private:
