--- a/packages/fleet/tests/control_host.h
+++ b/packages/fleet/tests/control_host.h
@@ -61,12 +61,13 @@
               int aNumber,
               uint16_t aPeerPort,
               bool aRefuseStoreCalls = false,
-              size_t aMaxDirectReaders = 150)
+              size_t aMaxDirectReaders = 150,
+              const std::string& aFailureDomain = "a")
   {
     init_.maxDirectReaders = aMaxDirectReaders;
     init_.capacity = 10;
     init_.host = aName;
-    init_.failureDomain = "a";
+    init_.failureDomain = aFailureDomain;
     init_.address = "127.0.0." + std::to_string(aNumber);
     init_.readinessAddress = init_.address;
     init_.peerPort = aPeerPort;
@@ -176,6 +177,7 @@
   FakeFaults faults;
   FleetShared shared;
   EventLoop* loop = nullptr;
+  std::atomic<int> activationMs = 0;          ///< Time that the host needs to read a document.
   std::atomic<uint64_t> firstRevision = 0;    ///< With which the host has begun to serve.
   std::atomic<bool> hasDetectedPause = false; ///< The host has detected a pause of its process.
 
@@ -187,7 +189,8 @@
     adapter.configurationTable = kConfigurationTable;
     adapter.configurationKey = "current";
     adapter.upstreamTable = kUpstreamTable;
-    adapter.parseConfiguration = [](std::string_view aDocument) -> Result<FleetConfiguration> {
+    adapter.parseConfiguration = [this](std::string_view aDocument) -> Result<FleetConfiguration> {
+      std::this_thread::sleep_for(Milliseconds(activationMs));
       if (aDocument.empty() || std::isdigit(static_cast<unsigned char>(aDocument.front())) == 0) {
         return Error{ Errc::InvalidArgument, "fake.parse", "", "no revision" };
       }
