--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -22,6 +22,8 @@
 {
   std::string service;
   uint32_t weight = 1; ///< Relative to the other services of the route.
+
+  friend bool operator==(const ServiceShare&, const ServiceShare&) = default;
 };
 
 /// A route for the requests to a host name whose paths begin with a prefix.
@@ -37,6 +39,8 @@
   uint32_t priority = 0;           ///< 0 is the most urgent.
   uint32_t maxAttempts = 1;        ///< Upstreams that a request may be sent to.
   bool isPublic = false;           ///< Requests need no key, and belong to no client account.
+
+  friend bool operator==(const FleetRoute&, const FleetRoute&) = default;
 };
 
 /// Limits for the requests of callers. 0: not set.
@@ -46,6 +50,8 @@
   size_t maxBodyBytes = 0;
   Milliseconds headTimeout{ 0 };
   Milliseconds idleTimeout{ 0 };
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
 
 struct FleetConfiguration
