Configuration: checked after a pause without reading it again

Each pause of a second made a host read the whole configuration from the store again: 1.3 MB, over a second on a link of 10 Mbit/s, during which it was not ready and its requests waited.

The host now asks for changes after its position, which costs one small response. The same for a host whose configuration nobody has confirmed. If the store no longer has the history, the table is read as before.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -265,7 +265,7 @@
     // Reads from before the pause may return its state, or nothing.
     isReadingConfiguration_ = false;
     isReadingUpstreams_ = false;
-    ReadConfiguration();
+    CheckConfiguration();
     ReadUpstreams();
   }
   if (shared_.isStateConfirmed) {
--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -82,6 +82,36 @@
     });
 }
 
+void FleetControl::CheckConfiguration()
+{
+  if (revision_ == 0) {
+    return ReadConfiguration();
+  }
+  if (isReadingConfiguration_) {
+    return;
+  }
+  isReadingConfiguration_ = true;
+  platform_.store->Watch(
+    platform_.configurationTable,
+    ConfigurationWatchPosition(),
+    Duration(0),
+    kWatchDeadline + TransferTime(document_.Text().size()),
+    [this, requestedAt = Now()](const Result<StoreRows>& aRows) {
+      if (requestedAt < resumedAt_) {
+        return; // RevalidateAfterPause() has started another check.
+      }
+      isReadingConfiguration_ = false;
+      if (!aRows && aRows.Failure().code == make_error_code(Errc::NotFound)) {
+        return ReadConfiguration(); // The store no longer has the changes since that position.
+      }
+      RecordStoreResult(static_cast<bool>(aRows), aRows ? nullptr : &aRows.Failure());
+      if (!aRows) {
+        LogConfigurationReadFailure(aRows.Failure(), requestedAt);
+      }
+      OnConfigurationRows(aRows);
+    });
+}
+
 void FleetControl::WatchConfiguration()
 {
   if (isWatching_ || isReadingConfiguration_ || Now() < nextWatch_) {
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -150,6 +150,9 @@
   void OnMembersFailure(const Error& aError);
   void ReadUpstreams();
   void ReadConfiguration();
+  /// Asks the store for a configuration that is newer than the one of this host. Costs little if
+  /// there is none, however large a configuration is.
+  void CheckConfiguration();
   void WatchConfiguration();
   void OnUpstreamRows(const StoreRows& aRows, bool aIsIncremental);
   void OnConfigurationRows(const Result<StoreRows>& aRows);
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -75,7 +75,7 @@
     WatchConfiguration();
     ReadMemberChanges();
   } else if (aNow - configurationFreshAt_ > kConfigurationMaxAge + delay) {
-    ReadConfiguration();
+    CheckConfiguration();
   }
 }
 
--- a/packages/fleet/tests/slow_activation_test.cpp
+++ b/packages/fleet/tests/slow_activation_test.cpp
@@ -86,3 +86,37 @@
     CHECK(timeOfChange() < kActivationLimit);
   }
 }
+
+TEST_CASE("a host that was paused does not read a large configuration again that has not changed")
+{
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  ControlHost host(tables, "paused", 2, FreePort());
+  REQUIRE(Eventually([&] { return host.Revision() == 1 && host.GrantsSlotOf("one"); }));
+  const int readsBefore = host.faults.reads;
+  host.faults.readDelayMs = 3000; // A table takes this long over the link of the host.
+  host.loop->Post([] { std::this_thread::sleep_for(Milliseconds(1300)); });
+  CHECK(Eventually([&] { return host.hasDetectedPause.load(); }));
+  const TimePoint resumedAt = Now();
+  CHECK(Eventually([&] { return host.shared.isStateConfirmed.load(); }));
+  CHECK(Now() - resumedAt < Milliseconds(500));
+  CHECK(host.faults.reads == readsBefore);
+  SUBCASE("and gets a change of the time in which it was paused")
+  {
+    host.hasDetectedPause = false;
+    host.loop->Post([] { std::this_thread::sleep_for(Milliseconds(1300)); });
+    tables.Put(kConfigurationTable, "current", "2");
+    CHECK(Eventually([&] { return host.hasDetectedPause.load(); }));
+    CHECK(Eventually([&] { return host.shared.isStateConfirmed.load(); }));
+    CHECK(host.Revision() == 2);
+  }
+  SUBCASE("unless the store has forgotten what has changed meanwhile")
+  {
+    host.faults.readDelayMs = 0;
+    host.loop->Post([] { std::this_thread::sleep_for(Milliseconds(1300)); });
+    tables.Put(kConfigurationTable, "current", "2");
+    tables.DropHistory();
+    CHECK(Eventually([&] { return host.Revision() == 2; }));
+  }
+}
