Configuration: a host that nobody confirms looks for a change before it is late

After one failed call a host checked nothing until a read of the upstreams succeeded, which is not due while peers supply them.

The times are in one place now, ConfigurationSchedule: ask peers from 1.2 s, check the store from 1.7 s at the latest if nobody is heard. Most hosts still make no call while peers say that the store is away. After a failure the check comes back with the same delays as other reads, one call at a time.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -13,6 +13,7 @@
 #include "boragegauge/overlay.h"
 #include "boragegauge/peering.h"
 #include "boragegauge/relay.h"
+#include "configuration_schedule_p.h"
 #include "metered_store_p.h"
 #include "metrics_p.h"
 #include "quota_client_p.h"
@@ -22,9 +23,6 @@
 
 namespace bg::fleet::detail {
 
-/// When the configuration has not been confirmed for this long, the next host by rank reads it.
-constexpr Duration kConfigurationMaxAge = Milliseconds(1000);
-
 /// On the first start, hosts register within this time, because the store performs only some 100
 /// writes per second. They read the members after it.
 constexpr Duration kRegisterSpread = Milliseconds(2500);
@@ -282,6 +280,7 @@
   std::unique_ptr<overlay::Spreader> spreader_;
   Registry registry_;
   ReadSchedule schedule_;
+  ConfigurationSchedule configurationSchedule_;
   std::unique_ptr<SlotClient> slots_;
   std::unique_ptr<QuotaClient> quota_;
   std::shared_ptr<const RouteTable> quotaRoutes_; ///< That hasQuotas_ is about.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -135,7 +135,7 @@
   }
   const bool isOutdated = !registry_.HasState() || revision_ == 0 || !shared_.isStateConfirmed ||
                           aNow - registry_.FreshAt() > kStateRequestAge ||
-                          aNow - configurationFreshAt_ > kConfigurationMaxAge + kStateRequestAge;
+                          aNow - configurationFreshAt_ > configurationSchedule_.askAge;
   const std::string peer = spreader_->PeerToAsk(isOutdated, random_(), aNow);
   if (!peer.empty()) {
     AskForState(peer, false);
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -63,18 +63,20 @@
   if (aNow >= nextRegistrationCheck_ && storeFailures_ == 0) {
     CheckRegistration();
   }
-  const Duration delay =
-    schedule_.ReadDelay(spreader_->Tree().Order(), isReader_, PeerContact(aNow));
+  const ReadSchedule::Contact contact = PeerContact(aNow);
+  const Duration delay = schedule_.ReadDelay(spreader_->Tree().Order(), isReader_, contact);
   if (aNow >= schedule_.NextRead(delay, registry_.FreshAt(), lastStoreFailure_, storeFailures_)) {
     ReadUpstreams();
   }
-  if (storeFailures_ > 0) {
-    return; // Only the upstreams are read until the store responds again.
+  const bool isRetryDue =
+    aNow >= schedule_.NextRead(Duration(0), TimePoint{}, lastStoreFailure_, storeFailures_);
+  if (storeFailures_ > 0 && (isReadingUpstreams_ || !isRetryDue)) {
+    return; // One call at a time until the store responds again.
   }
   if (isReader_) {
     WatchConfiguration();
     ReadMemberChanges();
-  } else if (aNow - configurationFreshAt_ > kConfigurationMaxAge + delay) {
+  } else if (aNow - configurationFreshAt_ > configurationSchedule_.CheckAge(contact, delay)) {
     CheckConfiguration();
   }
 }
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "boragegauge/overlay.h"
+#include "configuration_schedule_p.h"
 #include "registry_p.h"
 
 using namespace bg;
@@ -484,3 +486,34 @@
     CHECK(schedule.NextRead({}, kStart, failure, 20) == failure + schedule.maxRetryDelay);
   }
 }
+
+TEST_CASE("a host looks for a newer configuration soon enough to have it in time")
+{
+  using Contact = ReadSchedule::Contact;
+  constexpr Duration kBound = std::chrono::seconds(2); ///< The shortest one of the users.
+  constexpr Duration kTick = Milliseconds(50);
+  constexpr Duration kCall = Milliseconds(200); ///< To the store, which takes 4 ms when it is well.
+  const ReadSchedule schedule;
+  const ConfigurationSchedule configuration;
+  const auto checkAge = [&](size_t aOrder, Contact aContact) {
+    return configuration.CheckAge(aContact, schedule.ReadDelay(aOrder, false, aContact));
+  };
+  SUBCASE("by itself, if it hears nobody")
+  {
+    for (const size_t order : { 0, 1, 30, 31, 86, 130, 442, 2499 }) {
+      CAPTURE(order);
+      CHECK(checkAge(order, Contact::Isolated) + kTick + kCall <= kBound);
+    }
+  }
+  SUBCASE("from peers, if what it hears is no news")
+  {
+    const overlay::SpreaderInit spreader{};
+    constexpr int kAsks = 3; // Of which two reach hosts that do not know better.
+    CHECK(configuration.askAge + kAsks * (spreader.repairInterval + kTick) <= kBound);
+    CHECK(configuration.askAge > Milliseconds(700) + schedule.orderStep);
+  }
+  SUBCASE("without calls of most hosts while peers say that the store is away")
+  {
+    CHECK(checkAge(60, Contact::Recent) >= 2 * schedule.isolatedDelay);
+  }
+}
