Upstreams: a change is passed on before this host uses it

A drained upstream was known later with each level of the tree.

Not measured by itself: with 255 upstreams the work is small. fleet_test 71 of 71.

--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -241,7 +241,7 @@
   void AnswerHello(const wire::Envelope& aMessage);
   void AnswerConfigurationRequest(const wire::Envelope& aMessage);
   void HandleConfiguration(const wire::Envelope& aMessage);
-  bool ApplyView(const wire::View& aView, const std::string& aHost, RegistryChange& aLocalChange);
+  bool ApplyView(const wire::View& aView, RegistryChange& aLocalChange);
   void CheckMembers(const wire::View& aView, const std::string& aHost, TimePoint aNow);
   /// @return True if the member was unknown.
   bool AddMember(const Member& aMember);
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -317,10 +317,9 @@
   }
 }
 
-/// Applies the upstreams of a view. @return False if they do not fit the state of this host.
-bool FleetControl::ApplyView(const wire::View& aView,
-                             const std::string& aHost,
-                             RegistryChange& aLocalChange)
+/// Records the upstreams of a view. The caller passes the change on, then uses it itself.
+/// @return False if they do not fit the state of this host.
+bool FleetControl::ApplyView(const wire::View& aView, RegistryChange& aLocalChange)
 {
   const TimePoint now = Now();
   const StorePosition position = FromWire(aView.position());
@@ -335,15 +334,13 @@
     change.lastReports.push_back(FromWire(upstream));
   }
   change.removed.assign(aView.removed().begin(), aView.removed().end());
-  const bool fits = registry_.ApplyPeerView(change,
-                                            aView.full(),
-                                            position,
-                                            aView.digest(),
-                                            now - Milliseconds(aView.registry_age_ms()),
-                                            now,
-                                            aLocalChange);
-  OnRegistryChange(aLocalChange, aHost);
-  return fits;
+  return registry_.ApplyPeerView(change,
+                                 aView.full(),
+                                 position,
+                                 aView.digest(),
+                                 now - Milliseconds(aView.registry_age_ms()),
+                                 now,
+                                 aLocalChange);
 }
 
 /// Asks for the members if the sender of a view knows others, less and less often: it may be this
@@ -384,7 +381,7 @@
   CheckMembers(view, host, now);
 
   RegistryChange localChange;
-  if (!ApplyView(view, host, localChange) && now >= nextViewRequest_) {
+  if (!ApplyView(view, localChange) && now >= nextViewRequest_) {
     nextViewRequest_ = now + kViewRequestInterval;
     AskForState(host, false);
   }
@@ -422,6 +419,7 @@
   if (registry_.HasState()) {
     SendView(targets, &localChange, isTaken ? SharedChange() : nullptr, joined);
   }
+  OnRegistryChange(localChange, host);
 }
 
 } // namespace bg::fleet::detail
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -363,8 +363,8 @@
                                   : registry_.ApplySnapshot(entries, aRows.position, Now());
   isReader_ = true;
   readerOrder_ = static_cast<uint32_t>(spreader_->Tree().Order() + 1);
-  OnRegistryChange(change, "store");
   ShareView(change, false);
+  OnRegistryChange(change, "store");
 }
 
 void FleetControl::LogUpstreamChanges(const RegistryChange& aChange, std::string_view aSource) const
