Upstream client: one owner for each descriptor

Cause: curl 7.88 closes the socket of an attempt to connect that it gives up without calling the close function. The watch of the socket kept the number and closed it again later, when it belonged to another connection.

The watch owns a duplicate; curl's number is closed by curl alone. A watch whose connection was given up ends when curl stops to wait for it.

Two more system calls for each connection.

--- a/packages/upstream/src/curl_client.cpp
+++ b/packages/upstream/src/curl_client.cpp
@@ -93,6 +93,8 @@
   static int OnTimer(CURLM*, long aTimeoutMs, void* aClient);
   static curl_socket_t OnOpenSocket(void* aClient, curlsocktype, curl_sockaddr* aAddress);
   static int OnCloseSocket(void* aClient, curl_socket_t aSocket);
+  /// Ends the watch of a socket, if there is one.
+  void RemoveWatch(curl_socket_t aSocket);
   static int OnDebug(CURL*, curl_infotype aType, char*, size_t aBytes, void* aTransfer);
   static int OnBeforeRequest(void* aTransfer, char* aPeer, char*, int aPeerPort, int aLocalPort);
 
@@ -137,6 +139,10 @@
   auto* client = static_cast<CurlClient*>(aClient);
   const auto found = client->sockets_.find(aSocket);
   if (found != client->sockets_.end()) {
+    if (aWhat == CURL_POLL_REMOVE && found->second->IsGivenUp()) {
+      client->RemoveWatch(aSocket);
+      return 0;
+    }
     found->second->SetInterest(aWhat);
     if (const std::string& name = found->second->Name(); !name.empty()) {
       client->connections_.insert_or_assign(name, aSocket);
@@ -230,34 +236,44 @@
   auto* client = static_cast<CurlClient*>(aClient);
   const curl_socket_t socket = ::socket(
     aAddress->family, aAddress->socktype | SOCK_NONBLOCK | SOCK_CLOEXEC, aAddress->protocol);
-  if (socket >= 0) {
-    client->sockets_[socket] =
-      WatchSocket(client->context_,
-                  socket,
-                  &aAddress->addr,
-                  [weak = client->weak_from_this()](int aSocket, int aEvent) {
-                    if (auto self = weak.lock()) {
-                      self->SocketAction(aSocket, aEvent);
-                    }
-                  });
-  }
-  return socket < 0 ? CURL_SOCKET_BAD : socket;
+  if (socket < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  client->RemoveWatch(socket); // curl may have closed a socket of this number without notice.
+  auto watch = WatchSocket(client->context_,
+                           socket,
+                           &aAddress->addr,
+                           [weak = client->weak_from_this()](int aSocket, int aEvent) {
+                             if (auto self = weak.lock()) {
+                               self->SocketAction(aSocket, aEvent);
+                             }
+                           });
+  if (!watch) {
+    ::close(socket);
+    return CURL_SOCKET_BAD;
+  }
+  client->sockets_.emplace(socket, std::move(watch));
+  return socket;
 }
 
 int CurlClient::OnCloseSocket(void* aClient, curl_socket_t aSocket)
 {
-  auto* client = static_cast<CurlClient*>(aClient);
-  const auto found = client->sockets_.find(aSocket);
-  if (found == client->sockets_.end()) {
-    return ::close(aSocket);
+  static_cast<CurlClient*>(aClient)->RemoveWatch(aSocket);
+  return ::close(aSocket);
+}
+
+void CurlClient::RemoveWatch(curl_socket_t aSocket)
+{
+  const auto found = sockets_.find(aSocket);
+  if (found == sockets_.end()) {
+    return;
   }
-  const auto named = client->connections_.find(found->second->Name());
-  if (named != client->connections_.end() && named->second == aSocket) {
-    client->connections_.erase(named);
+  const auto named = connections_.find(found->second->Name());
+  if (named != connections_.end() && named->second == aSocket) {
+    connections_.erase(named);
   }
   found->second->Close();
-  client->sockets_.erase(found);
-  return 0;
+  sockets_.erase(found);
 }
 
 int CurlClient::OnTimer(CURLM*, long aTimeoutMs, void* aClient)
--- a/packages/upstream/src/socket_watch.cpp
+++ b/packages/upstream/src/socket_watch.cpp
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -42,12 +43,15 @@
   , public std::enable_shared_from_this<AsioSocketWatch>
 {
 public:
+  /// @param aSocket Number of curl. @param aDescriptor Of the same socket, to be owned.
   AsioSocketWatch(asio::io_context& aContext,
                   int aSocket,
+                  int aDescriptor,
                   std::string aIp,
                   uint16_t aPort,
                   std::function<void(int, int)> aReady)
-    : descriptor_(aContext, aSocket)
+    : descriptor_(aContext, aDescriptor)
+    , socket_(aSocket)
     , ip_(std::move(aIp))
     , port_(aPort)
     , onReady_(std::move(aReady))
@@ -77,10 +81,20 @@
     StartWaits();
   }
 
+  bool IsGivenUp() override
+  {
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    const bool isConnected =
+      ::getpeername(descriptor_.native_handle(), reinterpret_cast<sockaddr*>(&address), &size) == 0;
+    return !isConnected || ::fcntl(socket_, F_GETFD) < 0;
+  }
+
   void Close() override
   {
     isClosed_ = true;
-    ::close(descriptor_.release());
+    std::error_code ignored; // Nothing was written through this descriptor.
+    descriptor_.close(ignored);
   }
 
 private:
@@ -118,11 +132,12 @@
     if (isClosed_ || (interest_ & wanted) == 0) {
       return;
     }
-    onReady_(descriptor_.native_handle(), aEvent);
+    onReady_(socket_, aEvent);
     StartWaits();
   }
 
   Descriptor descriptor_;
+  int socket_; ///< Number of curl, not to be closed here.
   std::string ip_;
   uint16_t port_;
   std::string name_;
@@ -150,9 +165,13 @@
                                          const sockaddr* aPeer,
                                          std::function<void(int, int)> aReady)
 {
+  const int descriptor = ::fcntl(aSocket, F_DUPFD_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return nullptr;
+  }
   auto [ip, port] = ParseAddress(aPeer);
   return std::make_shared<AsioSocketWatch>(
-    aContext, aSocket, std::move(ip), port, std::move(aReady));
+    aContext, aSocket, descriptor, std::move(ip), port, std::move(aReady));
 }
 
 } // namespace bg::detail
--- a/packages/upstream/src/upstream_p.h
+++ b/packages/upstream/src/upstream_p.h
@@ -25,8 +25,9 @@
 /// all characters that could end the request line or a header line early (header injection).
 std::string CheckRequest(const UpstreamRequest& aRequest);
 
-/// Waits for events of one curl socket while it is open. The Asio descriptor is released before the
-/// socket is closed, so that Asio never watches a descriptor number that the system has reused.
+/// Waits for events of one curl socket, by a descriptor of its own. curl closes the other one, for
+/// attempts to connect without a call of its close function, and the system may give its number to
+/// any thread before this object knows.
 class SocketWatch
 {
 public:
@@ -38,14 +39,17 @@
   virtual const std::string& Name() = 0;
   /// True if the socket has unread bytes, was closed by the peer or has failed.
   virtual bool HasUnreadInput() = 0;
-  /// Closes the socket; no event is reported afterwards.
+  /// Whether curl has given the socket up: its number is closed, or it was never connected.
+  /// Meaningful when curl no longer waits for events.
+  virtual bool IsGivenUp() = 0;
+  /// Closes the descriptor of the watch; no event is reported afterwards.
   virtual void Close() = 0;
 };
 
 /// Identifies a connection as "PEER_IP PEER_PORT LOCAL_PORT".
 std::string ConnectionName(std::string_view aIp, int aPort, int aLocalPort);
 
-/// Takes ownership of the socket.
+/// The socket stays curl's own. @return Null if no descriptor is left.
 /// @param aReady Called with the socket and the CURL_CSELECT value of an event.
 std::shared_ptr<SocketWatch> WatchSocket(asio::io_context& aContext,
                                          int aSocket,
