Registry: the report of a run that was followed by another one is old

Cause: reports of one run are ordered by their sequence, but the report of an earlier run was taken as new, because a start time alone does not order runs: a clock may have been set back. The store may write such a report seconds late.

A run that follows with an earlier start time still counts, as before.

Four checks of the new sections in registry_test failed before. A host that starts between the two runs and the late report does not know the earlier one, and takes it: open.

--- a/packages/fleet/src/registry.cpp
+++ b/packages/fleet/src/registry.cpp
@@ -43,6 +43,10 @@
   if (aUpstream.startedAtMs == 0) {
     return false; // Runs with the same id cannot be distinguished.
   }
+  const auto earlier = earlierRuns_.find({ aUpstream.id, aUpstream.startedAtMs });
+  if (earlier != earlierRuns_.end() && aNow < earlier->second) {
+    return true;
+  }
   const auto current = upstreams_.find(aUpstream.id);
   const auto tombstone = tombstones_.find(aUpstream.id);
   const bool isRemoved = current == upstreams_.end();
@@ -65,6 +69,7 @@
     return;
   }
   missingFromStore_.erase(aUpstream.id);
+  RecordEarlierRun(aUpstream, aNow);
   const auto current = upstreams_.find(aUpstream.id);
   if (current == upstreams_.end() || !HasSameState(current->second, aUpstream)) {
     digest_ ^= current == upstreams_.end() ? 0 : DigestOf(current->second);
@@ -75,6 +80,21 @@
   upstreams_.insert_or_assign(aUpstream.id, aUpstream);
 }
 
+void Registry::RecordEarlierRun(const RegisteredUpstream& aUpstream, TimePoint aNow)
+{
+  const auto current = upstreams_.find(aUpstream.id);
+  const auto tombstone = tombstones_.find(aUpstream.id);
+  const int64_t startedAtMs = current != upstreams_.end()      ? current->second.startedAtMs
+                              : tombstone != tombstones_.end() ? tombstone->second.startedAtMs
+                                                               : 0;
+  // A run that starts with a clock that was set back counts as well, but ends no earlier one.
+  if (startedAtMs == 0 || startedAtMs >= aUpstream.startedAtMs) {
+    return;
+  }
+  std::erase_if(earlierRuns_, [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  earlierRuns_.insert_or_assign({ aUpstream.id, startedAtMs }, aNow + init_.tombstonePeriod);
+}
+
 void Registry::Remove(const std::string& aId, TimePoint aNow, RegistryChange& aChange)
 {
   const auto current = upstreams_.find(aId);
--- a/packages/fleet/src/registry_p.h
+++ b/packages/fleet/src/registry_p.h
@@ -119,6 +119,8 @@
   void RecordLastReport(const RegisteredUpstream& aUpstream, TimePoint aNow);
   /// Whether a newer report of the upstream is known.
   bool IsStale(const RegisteredUpstream& aUpstream, TimePoint aNow) const;
+  /// Records the run that a new one of the same upstream follows.
+  void RecordEarlierRun(const RegisteredUpstream& aUpstream, TimePoint aNow);
   /// Records a read of the store. @return False if the state is already newer than the response.
   bool RecordRead(StorePosition aPosition, TimePoint aNow);
   /// Starts the time in which upstreams write lost entries again, if the epoch is new.
@@ -139,6 +141,9 @@
   std::set<std::string, std::less<>>
     missingFromStore_; ///< Upstreams kept without an entry in the store.
   std::map<std::string, Tombstone, std::less<>> tombstones_;
+  /// Runs that were followed by one that started later, by upstream and start; until when their
+  /// reports are ignored, which the store may write late.
+  std::map<std::pair<std::string, int64_t>, TimePoint> earlierRuns_;
 };
 
 /// Schedule of the store reads of a host. One host of the fleet reads regularly and shares what it
--- a/packages/fleet/tests/registry_test.cpp
+++ b/packages/fleet/tests/registry_test.cpp
@@ -212,6 +212,35 @@
           1);
     CHECK_FALSE(registry.Find("one")->isDraining);
   }
+  SUBCASE("do not bring back a run that was followed by another one")
+  {
+    registry.ApplyChanges(Entries(report(1, false, 1800)), At(12), later);
+    SUBCASE("while that one is there")
+    {
+      registry.ApplyChanges(Entries(report(2, true, 1800)), At(13), later);
+      CHECK(registry.ApplyChanges(Entries(report(6, false)), At(14), later).Empty());
+      CHECK(registry.Find("one")->isDraining);
+    }
+    SUBCASE("after that one has left as well")
+    {
+      registry.ApplyChanges(Deleted("one"), At(13), later);
+      CHECK(registry.ApplyChanges(Entries(report(6, false)), At(14), later).Empty());
+      CHECK(registry.ApplySnapshot(Entries(report(6, false)), At(15), later).Empty());
+      CHECK(registry.Find("one") == nullptr);
+    }
+    SUBCASE("but one that follows, also if its clock was set back")
+    {
+      registry.ApplyChanges(Entries(report(1, false, 1650)), At(13), later);
+      CHECK(registry.Find("one")->startedAtMs == 1650);
+      registry.ApplyChanges(Entries(report(2, true, 1650)), At(14), later);
+      CHECK(registry.Find("one")->isDraining);
+    }
+    SUBCASE("for ever, as no report is that late")
+    {
+      const TimePoint muchLater = later + std::chrono::minutes(1);
+      CHECK_FALSE(registry.ApplySnapshot(Entries(report(1, false)), At(13), muchLater).Empty());
+    }
+  }
   SUBCASE("are applied in order of arrival if runs cannot be distinguished")
   {
     Registry plain;
