Spread of state: hosts with more capacity come first

On the way of a change the reader and the first contact of each domain are chosen by the hash of their names. A document of 1.3 MB takes the reader over a second on its link before anybody can have the change.

The hosts of a domain are ordered by capacity, then by hash. Hosts with the same capacity are ordered as before. The members name their capacity already; while hosts of an older version are in the fleet, both orders exist, and who is left out asks heads, as after a loss.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -36,8 +36,9 @@
                    init_.capacity,
                    init_.relayPort };
   members_ = std::make_unique<Members>(std::move(members));
-  spreader_ = std::make_unique<overlay::Spreader>(
-    overlay::SpreaderInit{ .tree = { .host = init_.host, .failureDomain = init_.failureDomain } });
+  spreader_ = std::make_unique<overlay::Spreader>(overlay::SpreaderInit{
+    .tree = {
+      .host = init_.host, .failureDomain = init_.failureDomain, .capacity = init_.capacity } });
   platform_ = init_.createPlatform(loop_);
   auto store = std::make_unique<MeteredStore>(
     std::move(platform_.store), [this](uint64_t aEpoch) { RecordStoreEpoch(aEpoch, "store"); });
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -48,7 +48,7 @@
     connectedPeers_.erase(aMember.host);
     arePeersConnected_ = false;
   }
-  spreader_->Tree().Add(aMember.host, aMember.failureDomain);
+  spreader_->Tree().Add(aMember.host, aMember.failureDomain, aMember.capacity);
   return isNew;
 }
 
--- a/packages/overlay/include/boragegauge/overlay.h
+++ b/packages/overlay/include/boragegauge/overlay.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -16,6 +17,7 @@
 {
   std::string host; ///< This host.
   std::string failureDomain;
+  uint32_t capacity = 0;        ///< Of this host, see DisseminationTree::Add().
   size_t headCount = 16;        ///< Hosts of a failure domain that receive state from its sources.
   size_t fanOut = 8;            ///< Hosts of the next level per host; each has two parents.
   size_t contactsPerDomain = 2; ///< Hosts of each other failure domain that a source sends to.
@@ -24,17 +26,19 @@
 /// Deterministic dissemination tree of each failure domain. All hosts that know the same members
 /// compute the same tree without messages.
 ///
-/// The hosts of a domain are ordered by the hash of their names. The first ones are the heads,
-/// which receive state from the sources: the host that reads the store, and in other domains the
-/// hosts that it contacts. Each host below has two parents in the level above it, so that the loss
-/// of one of them delays nothing.
+/// The hosts of a domain are ordered by their capacity, those of the same capacity by the hash of
+/// their names, so that state comes from hosts with processor time and bandwidth to spare. The
+/// first ones are the heads, which receive state from the sources: the host that reads the store,
+/// and in other domains the hosts that it contacts. Each host below has two parents in the level
+/// above it, so that the loss of one of them delays nothing.
 class DisseminationTree
 {
 public:
   explicit DisseminationTree(TreeInit aInit);
 
-  /// Adds a host. @return False if it is known already.
-  bool Add(std::string_view aHost, std::string_view aFailureDomain);
+  /// Adds a host, or changes its capacity. @return False if it is known already.
+  /// @param aCapacity CPU capacity in any unit that is the same for all hosts.
+  bool Add(std::string_view aHost, std::string_view aFailureDomain, uint32_t aCapacity = 0);
 
   /// Hosts to which this host passes state on, at most two times the fan-out.
   const std::vector<std::string>& Children() const;
@@ -57,7 +61,21 @@
   size_t Size() const { return size_; }
 
 private:
-  using Domain = std::vector<std::pair<uint64_t, std::string>>; ///< Hash and name, sorted.
+  struct Entry
+  {
+    uint32_t capacity = 0;
+    uint64_t hash = 0; ///< Of the name.
+    std::string name;
+
+    friend bool operator==(const Entry&, const Entry&) = default;
+    /// The order within a domain.
+    friend bool operator<(const Entry& aLeft, const Entry& aRight)
+    {
+      return std::tie(aRight.capacity, aLeft.hash, aLeft.name) <
+             std::tie(aLeft.capacity, aRight.hash, aRight.name);
+    }
+  };
+  using Domain = std::vector<Entry>; ///< Sorted.
 
   void Update() const;
   size_t SelfIndex(const Domain& aDomain) const;
--- a/packages/overlay/src/dissemination_tree.cpp
+++ b/packages/overlay/src/dissemination_tree.cpp
@@ -43,26 +43,36 @@
 DisseminationTree::DisseminationTree(TreeInit aInit)
   : init_(std::move(aInit))
 {
-  Add(init_.host, init_.failureDomain);
+  Add(init_.host, init_.failureDomain, init_.capacity);
 }
 
-bool DisseminationTree::Add(std::string_view aHost, std::string_view aFailureDomain)
+bool DisseminationTree::Add(std::string_view aHost,
+                            std::string_view aFailureDomain,
+                            uint32_t aCapacity)
 {
   Domain& domain = domains_.try_emplace(std::string(aFailureDomain)).first->second;
-  std::pair<uint64_t, std::string> entry{ Hash64(aHost), aHost };
-  const auto position = std::lower_bound(domain.begin(), domain.end(), entry);
+  const uint32_t capacity = aHost == init_.host ? init_.capacity : aCapacity;
+  Entry entry{ capacity, Hash64(aHost), std::string(aHost) };
+  auto position = std::lower_bound(domain.begin(), domain.end(), entry);
   if (position != domain.end() && *position == entry) {
     return false;
   }
+  const auto known = std::find_if(
+    domain.begin(), domain.end(), [&](const Entry& aEntry) { return aEntry.name == aHost; });
+  const bool isNew = known == domain.end();
+  if (!isNew) {
+    domain.erase(known);
+    position = std::lower_bound(domain.begin(), domain.end(), entry);
+  }
   domain.insert(position, std::move(entry));
-  ++size_;
+  size_ += isNew ? 1 : 0;
   isCurrent_ = false;
-  return true;
+  return isNew;
 }
 
 size_t DisseminationTree::SelfIndex(const Domain& aDomain) const
 {
-  const std::pair<uint64_t, std::string> self{ Hash64(init_.host), init_.host };
+  const Entry self{ init_.capacity, Hash64(init_.host), init_.host };
   return static_cast<size_t>(std::lower_bound(aDomain.begin(), aDomain.end(), self) -
                              aDomain.begin());
 }
@@ -79,16 +89,16 @@
   const size_t self = SelfIndex(domain);
   for (size_t i = 0; i < std::min(init_.headCount, domain.size()); ++i) {
     if (i != self) {
-      heads_.push_back(domain[i].second);
+      heads_.push_back(domain[i].name);
     }
   }
   const Place place = FindPlace(self, init_);
   depth_ = place.depth;
   if (place.depth > 0) {
     const auto [first, second] = ParentOffsets(self - place.start, place.prevSize);
-    parents_.push_back(domain[place.prevStart + first].second);
+    parents_.push_back(domain[place.prevStart + first].name);
     if (second != first) {
-      parents_.push_back(domain[place.prevStart + second].second);
+      parents_.push_back(domain[place.prevStart + second].name);
     }
   }
   const size_t offset = self - place.start;
@@ -97,7 +107,7 @@
   for (size_t i = childStart; i < childEnd; ++i) {
     const auto [first, second] = ParentOffsets(i - childStart, place.size);
     if (first == offset || second == offset) {
-      children_.push_back(domain[i].second);
+      children_.push_back(domain[i].name);
     }
   }
 }
@@ -134,9 +144,9 @@
       continue;
     }
     const size_t heads = std::min(init_.headCount, domain.size());
-    contacts.push_back(domain.front().second);
+    contacts.push_back(domain.front().name);
     for (size_t i = 1; i < std::min(init_.contactsPerDomain, heads); ++i) {
-      contacts.push_back(domain[1 + (aRound + i - 1) % (heads - 1)].second);
+      contacts.push_back(domain[1 + (aRound + i - 1) % (heads - 1)].name);
     }
   }
   return contacts;
@@ -159,7 +169,7 @@
   }
   const Domain& domain = *others[aRandom % others.size()];
   const size_t heads = std::min(init_.headCount, domain.size());
-  return domain[aRandom / others.size() % heads].second;
+  return domain[aRandom / others.size() % heads].name;
 }
 
 size_t DisseminationTree::Order() const
--- a/packages/overlay/tests/dissemination_tree_test.cpp
+++ b/packages/overlay/tests/dissemination_tree_test.cpp
@@ -79,3 +79,45 @@
   CHECK(tree.Parents() == reversed.Parents());
   CHECK(tree.Order() == reversed.Order());
 }
+
+TEST_CASE("hosts with more capacity come first on the way of state")
+{
+  std::vector<HostName> hosts = MakeHosts(120, 4);
+  const auto isStrong = [](size_t aIndex) { return aIndex % 30 < 4; }; // Four of each domain.
+  const auto makeTree = [&](size_t aSelf) {
+    DisseminationTree tree({ .host = hosts[aSelf].host,
+                             .failureDomain = hosts[aSelf].domain,
+                             .capacity = isStrong(aSelf) ? 50U : 10U });
+    for (size_t i = hosts.size(); i-- > 0;) {
+      tree.Add(hosts[i].host, hosts[i].domain, isStrong(i) ? 50 : 10);
+    }
+    return tree;
+  };
+  std::map<std::string, size_t> indexes;
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    indexes[hosts[i].host] = i;
+  }
+  SUBCASE("they read the store first and are heads")
+  {
+    for (size_t i = 0; i < hosts.size(); ++i) {
+      const DisseminationTree tree = makeTree(i);
+      CHECK((tree.Order() < 16) == isStrong(i));
+      CHECK((tree.Depth() == 0 || !isStrong(i)));
+      const std::vector<std::string> contacts = tree.Contacts(0);
+      CHECK(std::count_if(contacts.begin(), contacts.end(), [&](const std::string& aHost) {
+              return isStrong(indexes[aHost]);
+            }) >= 3); // The first contact of each other domain.
+    }
+  }
+  SUBCASE("also if their capacity was not known at first, or changes")
+  {
+    DisseminationTree tree({ .host = "self", .failureDomain = "a", .capacity = 10 });
+    CHECK(tree.Add("other", "a", 5));
+    CHECK(tree.Order() == 0);
+    CHECK_FALSE(tree.Add("other", "a", 20));
+    CHECK(tree.Order() == 1);
+    CHECK_FALSE(tree.Add("self", "a", 90)); // What others think of this host.
+    CHECK(tree.Order() == 1);
+    CHECK(tree.Size() == 2);
+  }
+}
