--- a/packages/fleet/tests/slow_activation_test.cpp
+++ b/packages/fleet/tests/slow_activation_test.cpp
@@ -45,6 +45,7 @@
   const uint16_t port = FreePort();
   ControlHost reader(tables, "reader", 2, port, false, 150, "a");
   std::vector<std::unique_ptr<ControlHost>> hosts;
+  hosts.reserve(kDomainHosts);
   for (int i = 0; i < kDomainHosts; ++i) {
     hosts.push_back(
       std::make_unique<ControlHost>(tables, HostName(i), 10 + i, port, false, 150, "b"));
