Configuration: confirmed after it is active, as of its receipt

configuration_adopted said confirmed_ms=0 for what came from the store, and for the time of activation the traffic thread took the configuration before as confirmed. The time of receipt counts now, once the new configuration is active.

--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -143,7 +143,7 @@
     return; // A late response, possibly from before a restore of the store.
   }
   configurationRead_ = aRows->position;
-  ConfirmConfiguration(Now());
+  const TimePoint receivedAt = Now();
   const StoreRow* newest = nullptr;
   for (const StoreRow& row : aRows->rows) {
     const bool isConfigurationRow = row.key == platform_.configurationKey && !row.isDeleted;
@@ -154,6 +154,7 @@
   const bool isNew =
     newest != nullptr &&
     ActivateConfiguration({ aRows->position.epoch, newest->version }, newest->value);
+  ConfirmConfiguration(receivedAt);
   if (isNew && !document_.Id().IsNewerThan(newestKnown_)) {
     // The host that announced it has told all others.
     return ForwardConfiguration(Now());
