Spread of state: the order of readers does not depend on the capacity

The order by capacity also made the strong hosts the first to read the store. They are the allocators, so that the faults that hit readers hit allocators too.

Heads and first contacts of a domain stay ordered by capacity; who reads the store is decided by the hash of the names, as before.

--- a/packages/overlay/include/boragegauge/overlay.h
+++ b/packages/overlay/include/boragegauge/overlay.h
@@ -54,7 +54,8 @@
   std::string RandomHead(uint64_t aRandom, bool aInThisDomain) const;
 
   /// Position of this host in the order over all failure domains, 0 first. Neighbors in this order
-  /// are in different domains.
+  /// are in different domains. Does not depend on the capacity: hosts with the largest one have
+  /// other tasks, which would be lost together with this one.
   size_t Order() const;
   /// Number of hops from a head of the domain; 0 for a head.
   size_t Depth() const;
--- a/packages/overlay/src/dissemination_tree.cpp
+++ b/packages/overlay/src/dissemination_tree.cpp
@@ -175,7 +175,11 @@
 size_t DisseminationTree::Order() const
 {
   const Domain& own = domains_.find(init_.failureDomain)->second;
-  const size_t rank = SelfIndex(own);
+  const std::pair self(Hash64(init_.host), std::string_view(init_.host));
+  const auto rank =
+    static_cast<size_t>(std::count_if(own.begin(), own.end(), [&self](const Entry& aEntry) {
+      return std::pair(aEntry.hash, std::string_view(aEntry.name)) < self;
+    }));
   const uint64_t ownHash = Hash64(init_.failureDomain);
   size_t order = 0;
   for (const auto& [name, domain] : domains_) {
