Fleet: log what a host without a confirmed configuration has heard and asked

The record has peer_messages_dropped with a count of 1 at two hosts 0.1 s after their start and of 464 at another one, and nothing tells whether questions about the configuration, their answers or messages about slots were lost, nor what the late hosts knew.

peer_messages_dropped names kinds and the host that most messages were for; configuration_unconfirmed says once, after 1.7 s without a confirmation, when a peer was last heard, which one, how many were asked and whether the store turns the host away.

FleetInit::createPeerTransport lets tests put a network of their own below the hosts (fake_peer_network.h), with slow connections and lost messages.

--- a/packages/fleet/include/boragegauge/fleet.h
+++ b/packages/fleet/include/boragegauge/fleet.h
@@ -10,6 +10,7 @@
 
 #include "boragegauge/accounts.h"
 #include "boragegauge/eventloop.h"
+#include "boragegauge/peering.h"
 #include "boragegauge/upstream.h"
 
 /// Proxy fleet over a shared store. Operators write the configuration to the store and upstreams
@@ -242,6 +243,9 @@
   /// Creates the client of a traffic thread; null: CreateCurlUpstreamClient().
   std::function<std::unique_ptr<UpstreamClient>(const UpstreamClientInit&)> createUpstreamClient =
     nullptr;
+  /// Creates the transport to other hosts; null: CreateZmqPeerTransport().
+  std::function<Result<std::unique_ptr<PeerTransport>>(PeerTransportInit)> createPeerTransport =
+    nullptr;
 };
 
 /// Serves until SIGTERM or SIGINT. SIGTERM, SIGINT and SIGHUP must be blocked in the process.
--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kControlDelayLogInterval = std::chrono::seconds(1);
 /// Messages to peers that were dropped are logged no more often than this.
 constexpr Duration kDropLogInterval = std::chrono::seconds(5);
+/// The configuration is usually confirmed several times a second.
+constexpr Duration kLoggedUnconfirmedAge = Milliseconds(1700);
 
 } // namespace
 
@@ -106,7 +108,8 @@
   peers.address = init_.address;
   peers.port = init_.peerPort;
   peers.onMessage = [this](std::string_view aBytes) { HandleMessage(aBytes); };
-  auto transport = CreateZmqPeerTransport(std::move(peers));
+  auto transport = init_.createPeerTransport ? init_.createPeerTransport(std::move(peers))
+                                             : CreateZmqPeerTransport(std::move(peers));
   if (!transport) {
     return transport.Failure();
   }
@@ -186,6 +189,7 @@
   const TimePoint now = Now();
   RecordControlDelay(now);
   LogDroppedMessages(now);
+  LogUnconfirmed(now);
   RevalidateAfterPause(now);
   slots_->Tick(now);
   quota_->Tick(now);
@@ -231,15 +235,44 @@
 
 void FleetControl::LogDroppedMessages(TimePoint aNow)
 {
-  const uint64_t dropped = transport_->Stats().dropped;
-  if (dropped == loggedDrops_ || aNow - lastDropLog_ < kDropLogInterval) {
+  if (drops_.Empty() || aNow - lastDropLog_ < kDropLogInterval) {
     return;
   }
   lastDropLog_ = aNow;
+  const DroppedMessages drops = std::exchange(drops_, {});
+  const auto [host, count] = drops.Most();
   Log(LogLevel::Warning,
       "peer_messages_dropped",
-      { { "count", dropped - std::exchange(loggedDrops_, dropped) },
-        { "reason", "no connection to the host, or its queue is full" } });
+      { { "count", drops.Count() },
+        { "slot_messages", drops.Count(DomainBytesKind::Slot) },
+        { "state_messages", drops.Count(DomainBytesKind::State) },
+        { "hosts", drops.Hosts() },
+        { "most", host },
+        { "most_count", count },
+        { "reason", "no connection to the host, or a full queue" } });
+}
+
+/// Logs once when nobody has confirmed the configuration for long, with what this host has tried.
+void FleetControl::LogUnconfirmed(TimePoint aNow)
+{
+  const Duration age = aNow - configurationFreshAt_;
+  if (revision_ == 0 || age < kLoggedUnconfirmedAge) {
+    isUnconfirmedLogged_ = false;
+    return;
+  }
+  if (std::exchange(isUnconfirmedLogged_, true)) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "configuration_unconfirmed",
+      { { "revision", revision_ },
+        { "confirmed_ms", age / Milliseconds(1) },
+        { "heard_ms", (aNow - receivedViewAt_) / Milliseconds(1) },
+        { "heard_from", heardFrom_ },
+        { "peers_asked", peersAsked_ },
+        { "order", spreader_->Tree().Order() },
+        { "reading", isReadingConfiguration_ },
+        { "store_failures", storeFailures_ } });
 }
 
 ConfigurationMetrics FleetControl::ConfigurationState() const
--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -164,6 +164,7 @@
 
 void FleetControl::ConfirmConfiguration(TimePoint aFreshAt)
 {
+  peersAsked_ = aFreshAt > configurationFreshAt_ ? 0 : peersAsked_;
   configurationFreshAt_ = std::max(configurationFreshAt_, aFreshAt);
   if (!activationTimer_) {
     shared_.configurationFreshAt = configurationFreshAt_;
--- a/packages/fleet/src/control_messages.cpp
+++ b/packages/fleet/src/control_messages.cpp
@@ -31,16 +31,19 @@
 }
 
 /// Sends a message, or keeps it until a new connection is ready.
-void FleetControl::SendBytes(const std::string& aHost, const std::string& aBytes)
+void FleetControl::SendBytes(const std::string& aHost, DomainBytesKind aKind, std::string aBytes)
 {
   if (ConnectPeer(aHost) || !connectedPeers_.contains(aHost)) {
-    return transport_->Send(aHost, aBytes);
+    if (!transport_->Send(aHost, aBytes)) {
+      drops_.Record(aHost, aKind);
+    }
+    return;
   }
   if (pendingMessages_.size() == kMaxPendingMessages) {
-    ++droppedMessages_;
+    drops_.Record(aHost, aKind);
     return;
   }
-  pendingMessages_.emplace_back(aHost, aBytes);
+  pendingMessages_.push_back({ aHost, aKind, std::move(aBytes) });
   if (!pendingTimer_) {
     pendingTimer_ = loop_.RunAfter(kPeerConnectTime, [this] { SendPendingMessages(); });
   }
@@ -49,24 +52,20 @@
 void FleetControl::SendPendingMessages()
 {
   pendingTimer_.reset();
-  if (droppedMessages_ > 0) {
-    Log(LogLevel::Warning,
-        "peer_messages_dropped",
-        { { "count", std::exchange(droppedMessages_, 0) },
-          { "reason", "too many messages wait for new connections" } });
-  }
-  for (const auto& [host, bytes] : std::exchange(pendingMessages_, {})) {
-    SendBytes(host, bytes); // Kept again if its connection is newer than the timer.
+  for (PendingMessage& message : std::exchange(pendingMessages_, {})) {
+    // Kept again if its connection is newer than the timer.
+    SendBytes(message.host, message.kind, std::move(message.bytes));
   }
 }
 
 void FleetControl::Send(std::string_view aHost, wire::Envelope aMessage)
 {
   SetSender(aMessage, aHost, *members_);
-  const std::string bytes = aMessage.SerializeAsString();
-  RecordPeerBytes(
-    aHost, IsSlotMessage(aMessage) ? DomainBytesKind::Slot : DomainBytesKind::State, bytes.size());
-  SendBytes(std::string(aHost), bytes);
+  const DomainBytesKind kind =
+    IsSlotMessage(aMessage) ? DomainBytesKind::Slot : DomainBytesKind::State;
+  std::string bytes = aMessage.SerializeAsString();
+  RecordPeerBytes(aHost, kind, bytes.size());
+  SendBytes(std::string(aHost), kind, std::move(bytes));
 }
 
 void FleetControl::SendHello(std::string_view aHost)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -14,6 +14,7 @@
 #include "boragegauge/peering.h"
 #include "boragegauge/relay.h"
 #include "configuration_schedule_p.h"
+#include "dropped_messages_p.h"
 #include "metered_store_p.h"
 #include "metrics_p.h"
 #include "quota_client_p.h"
@@ -138,6 +139,7 @@
   /// Counts and logs by how much the control thread is late.
   void RecordControlDelay(TimePoint aNow);
   void LogDroppedMessages(TimePoint aNow);
+  void LogUnconfirmed(TimePoint aNow);
   /// Records that the active configuration was the newest one at a time.
   void ConfirmConfiguration(TimePoint aFreshAt);
   void RevalidateAfterPause(TimePoint aNow);
@@ -250,7 +252,7 @@
   void ShareEndpoints(std::span<const RegisteredUpstream* const> aAccepting);
   /// Connects to a member unless there is a connection. @return Whether the connection is ready.
   bool ConnectPeer(const std::string& aHost);
-  void SendBytes(const std::string& aHost, const std::string& aBytes);
+  void SendBytes(const std::string& aHost, DomainBytesKind aKind, std::string aBytes);
   /// Counts the bytes of a message if the host is in another failure domain.
   void RecordPeerBytes(std::string_view aHost, DomainBytesKind aKind, size_t aBytes) const;
   void SendPendingMessages();
@@ -295,10 +297,15 @@
     TimePoint readyAt{};
   };
   std::map<std::string, PeerConnection, std::less<>> connectedPeers_; ///< By host.
-  /// Messages to hosts whose connections are not ready yet.
-  std::vector<std::pair<std::string, std::string>> pendingMessages_;
+  struct PendingMessage
+  {
+    std::string host;
+    DomainBytesKind kind = DomainBytesKind::State;
+    std::string bytes;
+  };
+  std::vector<PendingMessage> pendingMessages_; ///< To hosts whose connections are not ready yet.
   std::unique_ptr<EventLoop::Timer> pendingTimer_;
-  uint64_t droppedMessages_ = 0; ///< Since the last log line about them.
+  DroppedMessages drops_; ///< Since the last log line about them.
 
   uint64_t revision_ = 0; ///< Of the active configuration; 0: none.
   /// The active configuration; a newer one while activationTimer_ is set.
@@ -359,9 +366,11 @@
   TimePoint startedAt_{};
   TimePoint lastTick_{};
   TimePoint lastDelayLog_{};
-  uint64_t loggedDrops_ = 0; ///< Messages to peers that were dropped, as of the last line.
   TimePoint lastDropLog_{};
+  bool isUnconfirmedLogged_ = false;
+  uint32_t peersAsked_ = 0;    ///< For state, since the configuration was last confirmed.
   TimePoint receivedViewAt_{}; ///< Of the last view of a peer.
+  std::string heardFrom_;      ///< The host that sent it.
   TimePoint resumedAt_{};      ///< End of the last pause of the process.
   uint32_t storeFailures_ = 0; ///< Failed calls to the store since the last successful read.
 };
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -138,6 +138,7 @@
                           aNow - configurationFreshAt_ > configurationSchedule_.askAge;
   const std::string peer = spreader_->PeerToAsk(isOutdated, random_(), aNow);
   if (!peer.empty()) {
+    ++peersAsked_;
     AskForState(peer, false);
   }
 }
@@ -206,7 +207,7 @@
   const std::string bytes = envelope.SerializeAsString();
   for (const std::string& host : aHosts) {
     RecordPeerBytes(host, DomainBytesKind::State, bytes.size());
-    SendBytes(host, bytes);
+    SendBytes(host, DomainBytesKind::State, bytes);
   }
 }
 
@@ -367,6 +368,7 @@
   const std::string& host = aMessage.sender().host();
   const TimePoint now = Now();
   receivedViewAt_ = now;
+  heardFrom_ = host;
   const TimePoint previousFreshAt = registry_.FreshAt();
   const TimePoint previousConfigurationFreshAt = configurationFreshAt_;
   const StorePosition previousPosition = registry_.Position();
--- a/packages/fleet/tests/control_host.h
+++ b/packages/fleet/tests/control_host.h
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "control_p.h"
+#include "fake_peer_network.h"
 #include "fake_row_store.h"
 
 namespace bg::fleet::test {
@@ -62,8 +63,14 @@
               uint16_t aPeerPort,
               bool aRefuseStoreCalls = false,
               size_t aMaxDirectReaders = 150,
-              const std::string& aFailureDomain = "a")
+              const std::string& aFailureDomain = "a",
+              FakePeerNetwork* aNetwork = nullptr)
   {
+    if (aNetwork != nullptr) {
+      init_.createPeerTransport = [aNetwork](PeerTransportInit aInit) {
+        return Result<std::unique_ptr<PeerTransport>>(aNetwork->Create(std::move(aInit)));
+      };
+    }
     init_.maxDirectReaders = aMaxDirectReaders;
     init_.capacity = 10;
     init_.host = aName;
--- a/packages/peering/include/boragegauge/peering.h
+++ b/packages/peering/include/boragegauge/peering.h
@@ -34,7 +34,8 @@
   virtual void RemovePeer(std::string_view aHost) = 0;
   /// Queues a message. Drops it and counts it in PeerTransportStats::dropped if the peer is unknown
   /// or not connected, its queue is full, or the message exceeds kMaxPeerMessageBytes.
-  virtual void Send(std::string_view aHost, std::string_view aBytes) = 0;
+  /// @return False if the message was dropped.
+  virtual bool Send(std::string_view aHost, std::string_view aBytes) = 0;
   /// Port on which the transport listens.
   virtual uint16_t Port() const = 0;
   virtual PeerTransportStats Stats() const = 0;
--- a/packages/peering/src/zmq_transport.cpp
+++ b/packages/peering/src/zmq_transport.cpp
@@ -242,16 +242,17 @@
     }
   }
 
-  void Send(std::string_view aHost, std::string_view aBytes) override
+  bool Send(std::string_view aHost, std::string_view aBytes) override
   {
     const auto found = peers_.find(aHost);
     if (found == peers_.end() || aBytes.size() > kMaxPeerMessageBytes ||
         !found->second.socket.send(zmq::buffer(aBytes), zmq::send_flags::dontwait)) {
       ++messagesDropped_;
-      return;
+      return false;
     }
     ++messagesSent_;
     bytesSent_ += aBytes.size();
+    return true;
   }
 
   uint16_t Port() const override { return port_; }
