Fleet test, failing: leaves without parents that the store turns away get a change late

A leaf that has lost both parents asks heads for state, another one every 0.2 s, over connections that it opens for the question; each head opens one for its answer. A message that finds its connection not ready after 20 ms is dropped.

--- /dev/null
+++ b/packages/fleet/tests/slow_connection_test.cpp
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "control_host.h"
+#include "raw_tcp.h"
+
+using namespace bg;
+using namespace bg::fleet;
+using namespace bg::fleet::detail;
+using namespace bg::fleet::test;
+using bg::test::Eventually;
+
+namespace {
+
+/// Bound of the users: a change is in force this long after it was acknowledged.
+constexpr Duration kActivationLimit = std::chrono::seconds(2);
+/// Hosts of each of two failure domains: 16 heads and 8 leaves.
+constexpr int kDomainHosts = 24;
+constexpr int kFirstAddress = 10;
+
+/// After it, connections and subscriptions from the start are gone.
+constexpr Duration kQuietTime = std::chrono::seconds(12);
+
+constexpr uint16_t kPort = 7000;
+
+std::string HostName(int aIndex)
+{
+  return (aIndex < kDomainHosts ? "a" : "b") + std::to_string(aIndex);
+}
+
+std::string Domain(int aIndex)
+{
+  return aIndex < kDomainHosts ? "a" : "b";
+}
+
+std::string Address(int aIndex)
+{
+  return "127.0.0." + std::to_string(kFirstAddress + aIndex);
+}
+
+overlay::DisseminationTree Tree(int aIndex)
+{
+  overlay::DisseminationTree tree({ HostName(aIndex), Domain(aIndex) });
+  for (int i = 0; i < 2 * kDomainHosts; ++i) {
+    tree.Add(HostName(i), Domain(i));
+  }
+  return tree;
+}
+
+/// Two failure domains whose hosts take some time to connect to each other.
+struct Fleet
+{
+  explicit Fleet(Duration aConnectTime)
+  {
+    network.connectTime = aConnectTime;
+    tables.Put(kConfigurationTable, "current", "1");
+    tables.Put(kUpstreamTable, "one", "ready");
+    for (int i = 0; i < 2 * kDomainHosts; ++i) {
+      hosts.push_back(std::make_unique<ControlHost>(
+        tables, HostName(i), kFirstAddress + i, kPort, false, 150, Domain(i), &network));
+    }
+  }
+
+  bool Has(uint64_t aRevision) const
+  {
+    return std::all_of(hosts.begin(), hosts.end(), [&](const auto& aHost) {
+      return aHost->Revision() == aRevision;
+    });
+  }
+
+  /// Messages from their parents to the hosts below the heads are lost, and the store turns these
+  /// hosts away.
+  void OrphanLeaves()
+  {
+    std::set<std::pair<std::string, std::string>> lost;
+    for (int i = 0; i < 2 * kDomainHosts; ++i) {
+      const overlay::DisseminationTree tree = Tree(i);
+      for (const std::string& parent : tree.Parents()) {
+        lost.emplace(Address(std::stoi(parent.substr(1))), Address(i));
+      }
+      hosts[static_cast<size_t>(i)]->faults.refuses = !tree.Parents().empty();
+    }
+    network.Change([&](FakePeerNetwork& aNetwork) {
+      aNetwork.isLost = [=](const std::string& aFrom, const std::string& aTo) {
+        return lost.contains({ aFrom, aTo });
+      };
+    });
+  }
+
+  FakePeerNetwork network;
+  FakeTables tables;
+  std::vector<std::unique_ptr<ControlHost>> hosts;
+};
+
+} // namespace
+
+// Questions and answers were dropped if a connection was not ready within 20 ms.
+TEST_CASE("hosts whose parents are gone and that the store turns away get a change in time")
+{
+  Fleet fleet(Milliseconds(200));
+  REQUIRE(Eventually([&] { return fleet.Has(1); }));
+  std::this_thread::sleep_for(kQuietTime);
+  fleet.OrphanLeaves();
+  fleet.tables.Put(kConfigurationTable, "current", "2");
+  const TimePoint changedAt = Now();
+  CHECK(Eventually([&] { return fleet.Has(2); }));
+  CHECK(Now() - changedAt < kActivationLimit);
+}
