Fleet: messages wait until a new connection is ready (CONFIG)

Cause: a host that has lost its parents asks heads for state, another one every 0.2 s, each over a connection opened for the question; the head opens one for the answer. A message that found its connection not ready 20 ms after it was opened was dropped, so that where connections take longer, as on busy machines, questions and answers were lost again and again. If the store turns such a host away as well, nothing else brings it the change. Class: a fixed wait in place of the event that is waited for.

PeerTransport::IsReady() tells whether a connection accepts a message. Messages with state and questions about it wait for that, up to a second; messages about slots and quotas, which are placed elsewhere after 60 ms, as long as before (20 ms). Same cause elsewhere: the first question to a seed was always dropped, because it was sent in the moment in which the connection was opened; seeds wait like other hosts now.

--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -431,7 +431,7 @@
   const TimePoint now = Now();
   if (TakeFromPeer(
         FromWire(configuration.id()), configuration.document(), aMessage.sender().host())) {
-    ConfirmConfiguration(now - Milliseconds(configuration.age_ms()));
+    ConfirmConfiguration(now - Milliseconds(aMessage.held_ms() + configuration.age_ms()));
     ForwardConfiguration(now);
   }
 }
--- a/packages/fleet/src/control_messages.cpp
+++ b/packages/fleet/src/control_messages.cpp
@@ -6,55 +6,100 @@
 
 namespace {
 
-/// Time for a new connection to a peer. Messages that are sent earlier would be dropped.
-constexpr Duration kPeerConnectTime = Milliseconds(20);
-/// Messages that wait for new connections.
-constexpr size_t kMaxPendingMessages = 256;
+/// A connection that is not ready within this time belongs to a host that is gone, or does not
+/// accept connections. Later messages to it are not kept.
+constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
+/// Requests to an allocator or to the owner of a quota are placed elsewhere after some 60 ms.
+constexpr Duration kMaxRequestWait = Milliseconds(20);
+constexpr Duration kPendingInterval = Milliseconds(10); ///< Between attempts to send.
+
+/// How long a message may wait for a new connection.
+Duration MaxWait(const wire::Envelope& aMessage)
+{
+  switch (aMessage.body_case()) {
+    case wire::Envelope::kHello:
+    case wire::Envelope::kView:
+    case wire::Envelope::kConfigurationRequest:
+    case wire::Envelope::kConfiguration:
+      return kMaxConnectTime;
+    default:
+      return kMaxRequestWait;
+  }
+}
 
 } // namespace
 
-bool FleetControl::ConnectPeer(const std::string& aHost)
+void FleetControl::ConnectPeer(const std::string& aHost)
 {
   const Member* member = members_->Find(aHost);
   if (member == nullptr || aHost == init_.host) {
-    return false;
+    return;
   }
   const TimePoint now = Now();
   const auto [connected, isNew] = connectedPeers_.try_emplace(aHost);
   connected->second.lastUse = now;
   if (isNew) {
+    connected->second.openedAt = now;
     members_->ForgetKnownBy(aHost);
     transport_->SetPeer(aHost, member->address, member->port);
-    connected->second.readyAt = now + kPeerConnectTime;
   }
-  return connected->second.readyAt <= now;
+}
+
+void FleetControl::ConnectSeed(const std::string& aSeed, const std::string& aAddress)
+{
+  transport_->SetPeer(aSeed, aAddress, init_.peerPort);
+  const TimePoint now = Now();
+  const auto [connected, isNew] = connectedPeers_.try_emplace(aSeed);
+  connected->second.lastUse = now;
+  connected->second.openedAt = isNew ? now : connected->second.openedAt;
 }
 
 /// Sends a message, or keeps it until a new connection is ready.
-void FleetControl::SendBytes(const std::string& aHost, DomainBytesKind aKind, std::string aBytes)
+void FleetControl::SendOrKeep(PeerMessage aMessage)
 {
-  if (ConnectPeer(aHost) || !connectedPeers_.contains(aHost)) {
-    if (!transport_->Send(aHost, aBytes)) {
-      drops_.Record(aHost, aKind);
-    }
-    return;
+  ConnectPeer(aMessage.host);
+  const auto connected = connectedPeers_.find(aMessage.host);
+  const bool isNew = connected != connectedPeers_.end() &&
+                     aMessage.createdAt - connected->second.openedAt < kMaxConnectTime;
+  const bool mustWait =
+    isNew && (pendingMessages_.Contains(aMessage.host) || !transport_->IsReady(aMessage.host));
+  if (!mustWait) {
+    return SendNow(aMessage);
   }
-  if (pendingMessages_.size() == kMaxPendingMessages) {
-    drops_.Record(aHost, aKind);
-    return;
+  const std::string host = aMessage.host;
+  const DomainBytesKind kind = aMessage.kind;
+  if (!pendingMessages_.Add(std::move(aMessage))) {
+    drops_.Record(host, kind);
   }
-  pendingMessages_.push_back({ aHost, aKind, std::move(aBytes) });
   if (!pendingTimer_) {
-    pendingTimer_ = loop_.RunAfter(kPeerConnectTime, [this] { SendPendingMessages(); });
+    pendingTimer_ = loop_.RunAfter(kPendingInterval, [this] { SendPendingMessages(); });
+  }
+}
+
+void FleetControl::SendNow(const PeerMessage& aMessage)
+{
+  if (!transport_->Send(aMessage.host, aMessage.bytes)) {
+    drops_.Record(aMessage.host, aMessage.kind);
   }
 }
 
 void FleetControl::SendPendingMessages()
 {
   pendingTimer_.reset();
-  for (PendingMessage& message : std::exchange(pendingMessages_, {})) {
-    // Kept again if its connection is newer than the timer.
-    SendBytes(message.host, message.kind, std::move(message.bytes));
+  const TimePoint now = Now();
+  const auto isReady = [this](const std::string& aHost) {
+    ConnectPeer(aHost); // The host may have been restarted since.
+    return transport_->IsReady(aHost);
+  };
+  for (PeerMessage& message : pendingMessages_.TakeReady(isReady)) {
+    message.bytes += EncodeHeldTime(now - message.createdAt);
+    SendNow(message);
+  }
+  for (const PeerMessage& message : pendingMessages_.TakeExpired(now)) {
+    drops_.Record(message.host, message.kind);
+  }
+  if (!pendingMessages_.Empty()) {
+    pendingTimer_ = loop_.RunAfter(kPendingInterval, [this] { SendPendingMessages(); });
   }
 }
 
@@ -65,7 +110,7 @@
     IsSlotMessage(aMessage) ? DomainBytesKind::Slot : DomainBytesKind::State;
   std::string bytes = aMessage.SerializeAsString();
   RecordPeerBytes(aHost, kind, bytes.size());
-  SendBytes(std::string(aHost), kind, std::move(bytes));
+  SendOrKeep({ std::string(aHost), kind, std::move(bytes), Now(), MaxWait(aMessage) });
 }
 
 void FleetControl::SendHello(std::string_view aHost)
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -17,6 +17,7 @@
 #include "dropped_messages_p.h"
 #include "metered_store_p.h"
 #include "metrics_p.h"
+#include "pending_messages_p.h"
 #include "quota_client_p.h"
 #include "routes_p.h"
 #include "shared_document_p.h"
@@ -243,16 +244,19 @@
   void AnswerHello(const wire::Envelope& aMessage);
   void AnswerConfigurationRequest(const wire::Envelope& aMessage);
   void HandleConfiguration(const wire::Envelope& aMessage);
-  bool ApplyView(const wire::View& aView, RegistryChange& aLocalChange);
+  bool ApplyView(const wire::View& aView, TimePoint aSentAt, RegistryChange& aLocalChange);
   void CheckMembers(const wire::View& aView, const std::string& aHost, TimePoint aNow);
   /// @return True if the member was unknown.
   bool AddMember(const Member& aMember);
   /// Tells the traffic thread which hosts relay requests.
   void ShareRelayPeers();
   void ShareEndpoints(std::span<const RegisteredUpstream* const> aAccepting);
-  /// Connects to a member unless there is a connection. @return Whether the connection is ready.
-  bool ConnectPeer(const std::string& aHost);
-  void SendBytes(const std::string& aHost, DomainBytesKind aKind, std::string aBytes);
+  /// Connects to a member unless there is a connection.
+  void ConnectPeer(const std::string& aHost);
+  /// Connects to a host of which only the address is known.
+  void ConnectSeed(const std::string& aSeed, const std::string& aAddress);
+  void SendOrKeep(PeerMessage aMessage);
+  void SendNow(const PeerMessage& aMessage);
   /// Counts the bytes of a message if the host is in another failure domain.
   void RecordPeerBytes(std::string_view aHost, DomainBytesKind aKind, size_t aBytes) const;
   void SendPendingMessages();
@@ -294,16 +298,10 @@
   struct PeerConnection
   {
     TimePoint lastUse{};
-    TimePoint readyAt{};
+    TimePoint openedAt{};
   };
   std::map<std::string, PeerConnection, std::less<>> connectedPeers_; ///< By host.
-  struct PendingMessage
-  {
-    std::string host;
-    DomainBytesKind kind = DomainBytesKind::State;
-    std::string bytes;
-  };
-  std::vector<PendingMessage> pendingMessages_; ///< To hosts whose connections are not ready yet.
+  PendingMessages pendingMessages_;
   std::unique_ptr<EventLoop::Timer> pendingTimer_;
   DroppedMessages drops_; ///< Since the last log line about them.
 
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -25,6 +25,8 @@
 /// Limits of the interval between requests for the members.
 constexpr Duration kMinMembersRequestInterval = std::chrono::seconds(1);
 constexpr Duration kMaxMembersRequestInterval = std::chrono::seconds(32);
+/// A view that has waited longer for a new connection is replaced by later ones.
+constexpr Duration kMaxViewWait = std::chrono::seconds(1);
 /// A confirmation that is fresher by less than this is no news: it came over a slower path.
 constexpr Duration kMinFreshnessGain = Milliseconds(50);
 /// A reader gives way to one of a lower order whose state is younger than this.
@@ -207,7 +209,7 @@
   const std::string bytes = envelope.SerializeAsString();
   for (const std::string& host : aHosts) {
     RecordPeerBytes(host, DomainBytesKind::State, bytes.size());
-    SendBytes(host, DomainBytesKind::State, bytes);
+    SendOrKeep({ host, DomainBytesKind::State, bytes, now, kMaxViewWait });
   }
 }
 
@@ -320,7 +322,9 @@
 
 /// Records the upstreams of a view. The caller passes the change on, then uses it itself.
 /// @return False if they do not fit the state of this host.
-bool FleetControl::ApplyView(const wire::View& aView, RegistryChange& aLocalChange)
+bool FleetControl::ApplyView(const wire::View& aView,
+                             TimePoint aSentAt,
+                             RegistryChange& aLocalChange)
 {
   const TimePoint now = Now();
   const StorePosition position = FromWire(aView.position());
@@ -339,7 +343,7 @@
                                  aView.full(),
                                  position,
                                  aView.digest(),
-                                 now - Milliseconds(aView.registry_age_ms()),
+                                 aSentAt - Milliseconds(aView.registry_age_ms()),
                                  now,
                                  aLocalChange);
 }
@@ -367,6 +371,7 @@
   const wire::View& view = aMessage.view();
   const std::string& host = aMessage.sender().host();
   const TimePoint now = Now();
+  const TimePoint sentAt = now - Milliseconds(aMessage.held_ms());
   receivedViewAt_ = now;
   heardFrom_ = host;
   const TimePoint previousFreshAt = registry_.FreshAt();
@@ -383,16 +388,16 @@
   CheckMembers(view, host, now);
 
   RegistryChange localChange;
-  if (!ApplyView(view, localChange) && now >= nextViewRequest_) {
+  if (!ApplyView(view, sentAt, localChange) && now >= nextViewRequest_) {
     nextViewRequest_ = now + kViewRequestInterval;
     AskForState(host, false);
   }
   std::vector<LeavingUpstream> leaving;
   for (const wire::LeavingUpstream& upstream : view.leaving()) {
-    leaving.push_back(FromWire(upstream, now));
+    leaving.push_back(FromWire(upstream, sentAt));
   }
   const bool hasNewLeaving = slots_->HandleLeaving(leaving);
-  const bool hasNewSuspects = HandleSuspects(view.suspects(), host, now);
+  const bool hasNewSuspects = HandleSuspects(view.suspects(), host, sentAt);
   CheckSuspects(view, host, now);
   const ConfigurationId configuration = FromWire(view.configuration_id());
   const bool isTaken = TakeFromPeer(configuration, view.configuration(), host);
@@ -403,7 +408,7 @@
     FetchConfiguration(now);
   } else if (document_.Id().revision != 0 && configuration.HasSameText(document_.Id())) {
     RebaseConfiguration(configuration.position, host);
-    ConfirmConfiguration(now - Milliseconds(view.configuration_age_ms()));
+    ConfirmConfiguration(sentAt - Milliseconds(view.configuration_age_ms()));
   } else {
     CorrectConfiguration(configuration, host, now);
   }
--- a/packages/fleet/src/control_store.cpp
+++ b/packages/fleet/src/control_store.cpp
@@ -217,7 +217,7 @@
   for (const std::string& seed : init_.seeds) {
     if (seed != init_.address) {
       const std::string peer = "seed " + seed;
-      transport_->SetPeer(peer, seed, init_.peerPort);
+      ConnectSeed(peer, seed);
       AskForState(peer, true);
     }
   }
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -217,6 +217,13 @@
   }
 }
 
+std::string EncodeHeldTime(Duration aTime)
+{
+  wire::Envelope envelope;
+  envelope.set_held_ms(ToWireMs(aTime));
+  return envelope.SerializeAsString();
+}
+
 Result<wire::Envelope> ParseEnvelope(std::string_view aBytes)
 {
   wire::Envelope envelope;
--- a/packages/fleet/src/messages_p.h
+++ b/packages/fleet/src/messages_p.h
@@ -42,6 +42,9 @@
 /// Replaces the view of a message by its compressed form if it is large.
 void CompressView(wire::Envelope& aMessage);
 
+/// Encodes how long a message has waited for a connection, to be appended to the message, in ms.
+std::string EncodeHeldTime(Duration aTime);
+
 /// Parses a message; a compressed view is decompressed. Fails with ProtocolViolation if it is
 /// malformed or the sender has no host name, address or valid port. A sender that is named by key
 /// is left to ResolveSender().
--- a/packages/fleet/tests/fake_peer_network.h
+++ b/packages/fleet/tests/fake_peer_network.h
@@ -71,6 +71,12 @@
       return isSent;
     }
 
+    bool IsReady(std::string_view aHost) const override
+    {
+      const auto peer = peers_.find(std::string(aHost));
+      return peer != peers_.end() && Now() >= peer->second.connectedAt;
+    }
+
     uint16_t Port() const override { return init_.port; }
     PeerTransportStats Stats() const override { return stats_; }
 
--- a/packages/peering/include/boragegauge/peering.h
+++ b/packages/peering/include/boragegauge/peering.h
@@ -36,6 +36,8 @@
   /// or not connected, its queue is full, or the message exceeds kMaxPeerMessageBytes.
   /// @return False if the message was dropped.
   virtual bool Send(std::string_view aHost, std::string_view aBytes) = 0;
+  /// Whether the peer is connected and has room in its queue, so that a message would be queued.
+  virtual bool IsReady(std::string_view aHost) const = 0;
   /// Port on which the transport listens.
   virtual uint16_t Port() const = 0;
   virtual PeerTransportStats Stats() const = 0;
--- a/packages/peering/src/zmq_transport.cpp
+++ b/packages/peering/src/zmq_transport.cpp
@@ -255,6 +255,13 @@
     return true;
   }
 
+  bool IsReady(std::string_view aHost) const override
+  {
+    const auto found = peers_.find(aHost);
+    return found != peers_.end() &&
+           (found->second.socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0;
+  }
+
   uint16_t Port() const override { return port_; }
 
   PeerTransportStats Stats() const override
--- a/packages/peering/tests/peering_test.cpp
+++ b/packages/peering/tests/peering_test.cpp
@@ -51,6 +51,24 @@
   auto b = pair.Create(0, atB);
   a->SetPeer("b", "127.0.0.1", b->Port());
 
+  SUBCASE("are accepted while the connection is ready")
+  {
+    bool isSent = false;
+    CHECK_FALSE(a->IsReady("unknown"));
+    CHECK(pair.RunUntil([&] {
+      if (!isSent && a->IsReady("b")) {
+        isSent = a->Send("b", "first");
+        CHECK(isSent);
+      }
+      if (!atB.empty()) {
+        b.reset();
+      }
+      return !b && !a->IsReady("b");
+    }));
+    CHECK(atB == std::vector<std::string>{ "first" });
+    CHECK_FALSE(a->Send("b", "late"));
+  }
+
   SUBCASE("many and large messages arrive whole and in order")
   {
     // The descriptor is edge-triggered: a missed edge would leave messages unread forever.
