Fleet: connections that failed during a cut are opened anew (CONFIG)

Cause: a connection attempt that gets no response is given up after 4 s, and a connection on which messages were lost after 4 to 6 s, then tried again up to 2 s later. Hosts that are back ask heads over such connections, and their parents send over them; both are dropped at once because the connection is old and not ready.

A connection older than a second that is not ready is opened anew when a host asks over it, answers a question over it (the one who asked is alive), and every 2 s to the children in the tree.

The transport of the test makes a connection that is opened or used during a cut useless for good; the real one recovers after the times above, which no run with real sockets shows here, because hosts on loopback cannot be cut off from each other.

--- a/packages/fleet/src/control_configuration.cpp
+++ b/packages/fleet/src/control_configuration.cpp
@@ -389,6 +389,7 @@
     if (!host.empty()) {
       wire::Envelope envelope;
       *envelope.mutable_configuration_request()->mutable_id() = ToWire(document_.Id());
+      RenewConnection(host);
       Send(host, std::move(envelope));
     }
   }
@@ -422,6 +423,7 @@
   *configuration.mutable_id() = ToWire(document_.Id());
   configuration.set_age_ms(ToWireMs(now - configurationFreshAt_));
   *configuration.mutable_document() = document;
+  RenewConnection(aMessage.sender().host());
   Send(aMessage.sender().host(), std::move(envelope));
 }
 
--- a/packages/fleet/src/control_messages.cpp
+++ b/packages/fleet/src/control_messages.cpp
@@ -45,8 +45,20 @@
   }
 }
 
+void FleetControl::RenewConnection(const std::string& aHost)
+{
+  const auto connected = connectedPeers_.find(aHost);
+  if (connected == connectedPeers_.end() || transport_->IsReady(aHost) ||
+      Now() - connected->second.openedAt < kMaxConnectTime) {
+    return;
+  }
+  transport_->RemovePeer(aHost);
+  connectedPeers_.erase(connected);
+}
+
 void FleetControl::ConnectSeed(const std::string& aSeed, const std::string& aAddress)
 {
+  RenewConnection(aSeed);
   transport_->SetPeer(aSeed, aAddress, init_.peerPort);
   const TimePoint now = Now();
   const auto [connected, isNew] = connectedPeers_.try_emplace(aSeed);
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -253,6 +253,9 @@
   void ShareEndpoints(std::span<const RegisteredUpstream* const> aAccepting);
   /// Connects to a member unless there is a connection.
   void ConnectPeer(const std::string& aHost);
+  /// Closes a connection that does not get ready, so that the next message opens one. A connection
+  /// that failed during a cut may wait for seconds before it is tried again.
+  void RenewConnection(const std::string& aHost);
   /// Connects to a host of which only the address is known.
   void ConnectSeed(const std::string& aSeed, const std::string& aAddress);
   void SendOrKeep(PeerMessage aMessage);
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -105,6 +105,7 @@
 {
   const overlay::DisseminationTree& tree = spreader_->Tree();
   for (const std::string& host : tree.Children()) {
+    RenewConnection(host);
     ConnectPeer(host);
   }
   if (tree.Order() < kStandbyReaders) {
@@ -155,6 +156,7 @@
     hello.set_registry_digest(registry_.Digest());
   }
   *hello.mutable_configuration_id() = ToWire(document_.Id());
+  RenewConnection(std::string(aHost));
   Send(aHost, std::move(envelope));
 }
 
@@ -293,6 +295,7 @@
   const std::string& host = aMessage.sender().host();
   const TimePoint now = Now();
   spreader_->AddFollower(host, now);
+  RenewConnection(host);
   if (hello.wants_members()) {
     wire::Envelope envelope;
     for (const Member& member : members_->All()) {
--- a/packages/fleet/tests/fake_peer_network.h
+++ b/packages/fleet/tests/fake_peer_network.h
@@ -12,7 +12,8 @@
 namespace bg::fleet::test {
 
 /// Carries messages between the hosts of a test. Links can be slow to connect, or lose all messages
-/// without a sign to the sender. Thread-safe; outlives the transports.
+/// without a sign to the sender; a connection that is opened or used meanwhile carries none later.
+/// Thread-safe; outlives the transports.
 class FakePeerNetwork
 {
 public:
@@ -54,27 +55,33 @@
 
     void SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t) override
     {
-      const Duration connectTime = network_.ConnectTime();
-      peers_.insert_or_assign(std::string(aHost),
-                              Peer{ std::string(aAddress), Now() + connectTime });
+      const std::string address(aAddress);
+      const bool isStuck = network_.IsLost(init_.address, address);
+      peers_.insert_or_assign(std::string(aHost), Peer{ address, Now(), isStuck });
     }
 
     void RemovePeer(std::string_view aHost) override { peers_.erase(std::string(aHost)); }
 
     bool Send(std::string_view aHost, std::string_view aBytes) override
     {
-      const auto peer = peers_.find(std::string(aHost));
-      const bool isSent = peer != peers_.end() && Now() >= peer->second.connectedAt &&
-                          network_.Deliver(init_.address, peer->second.address, aBytes);
-      stats_.messagesSent += isSent ? 1 : 0;
-      stats_.dropped += isSent ? 0 : 1;
-      return isSent;
+      const bool isReady = IsReady(aHost);
+      if (isReady) {
+        Peer& peer = peers_.find(std::string(aHost))->second;
+        peer.isStuck = network_.IsLost(init_.address, peer.address);
+        if (!peer.isStuck) {
+          network_.Deliver(peer.address, aBytes);
+        }
+      }
+      stats_.messagesSent += isReady ? 1 : 0;
+      stats_.dropped += isReady ? 0 : 1;
+      return isReady;
     }
 
     bool IsReady(std::string_view aHost) const override
     {
       const auto peer = peers_.find(std::string(aHost));
-      return peer != peers_.end() && Now() >= peer->second.connectedAt;
+      return peer != peers_.end() && !peer->second.isStuck &&
+             Now() >= peer->second.openedAt + network_.ConnectTime();
     }
 
     uint16_t Port() const override { return init_.port; }
@@ -94,7 +101,8 @@
     struct Peer
     {
       std::string address;
-      TimePoint connectedAt{};
+      TimePoint openedAt{};
+      bool isStuck = false; ///< It does not get ready.
     };
 
     FakePeerNetwork& network_;
@@ -110,21 +118,23 @@
     return connectTime;
   }
 
-  /// @return False if nobody listens.
-  bool Deliver(const std::string& aFrom, const std::string& aTo, std::string_view aBytes)
+  bool IsLost(const std::string& aFrom, const std::string& aTo)
+  {
+    const std::lock_guard lock(mutex_);
+    return isLost && isLost(aFrom, aTo);
+  }
+
+  void Deliver(const std::string& aTo, std::string_view aBytes)
   {
     const std::lock_guard lock(mutex_);
     const auto receiver = receivers_.find(aTo);
-    if (receiver == receivers_.end()) {
-      return false;
-    }
-    if (!isLost || !isLost(aFrom, aTo)) {
+    if (receiver != receivers_.end()) {
       receiver->second->Receive(std::string(aBytes));
     }
-    return true;
   }
 
   std::mutex mutex_;
+  TimePoint brokenBefore_{};                    ///< See BreakConnections().
   std::map<std::string, Transport*> receivers_; ///< By address.
 };
 
--- a/packages/fleet/tests/slow_connection_test.cpp
+++ b/packages/fleet/tests/slow_connection_test.cpp
@@ -23,6 +23,9 @@
 /// After it, connections and subscriptions from the start are gone.
 constexpr Duration kQuietTime = std::chrono::seconds(12);
 
+constexpr Duration kCutTime = Milliseconds(5500);
+/// A host counts this long after a cut before the bound of the change that follows ends.
+constexpr Duration kSettleTime = std::chrono::seconds(1);
 constexpr uint16_t kPort = 7000;
 
 std::string HostName(int aIndex)
@@ -89,6 +92,18 @@
     });
   }
 
+  /// Addresses of the hosts below the heads.
+  static std::set<std::string> Leaves()
+  {
+    std::set<std::string> leaves;
+    for (int i = 0; i < 2 * kDomainHosts; ++i) {
+      if (Tree(i).Depth() > 0) {
+        leaves.insert(Address(i));
+      }
+    }
+    return leaves;
+  }
+
   FakePeerNetwork network;
   FakeTables tables;
   std::vector<std::unique_ptr<ControlHost>> hosts;
@@ -108,3 +123,27 @@
   CHECK(Eventually([&] { return fleet.Has(2); }));
   CHECK(Now() - changedAt < kActivationLimit);
 }
+
+// Connections that were opened during a cut waited for seconds before they were tried again.
+TEST_CASE("hosts that were cut off and that the store turns away get the next change in time")
+{
+  Fleet fleet(Milliseconds(50));
+  REQUIRE(Eventually([&] { return fleet.Has(1); }));
+  std::this_thread::sleep_for(kQuietTime);
+  const std::set<std::string> cutOff = fleet.Leaves();
+  for (int i = 0; i < 2 * kDomainHosts; ++i) {
+    fleet.hosts[static_cast<size_t>(i)]->faults.refuses = cutOff.contains(Address(i));
+  }
+  fleet.network.Change([&](FakePeerNetwork& aNetwork) {
+    aNetwork.isLost = [=](const std::string& aFrom, const std::string& aTo) {
+      return cutOff.contains(aFrom) || cutOff.contains(aTo);
+    };
+  });
+  std::this_thread::sleep_for(kCutTime);
+  fleet.network.Change([](FakePeerNetwork& aNetwork) { aNetwork.isLost = nullptr; });
+  std::this_thread::sleep_for(kSettleTime);
+  fleet.tables.Put(kConfigurationTable, "current", "2");
+  const TimePoint changedAt = Now();
+  CHECK(Eventually([&] { return fleet.Has(2); }));
+  CHECK(Now() - changedAt < kActivationLimit);
+}
