Fleet test: the first question to a seed is not lost

The question was sent as the connection was opened and dropped; the next one came 1.5 to 3 s later.

The network of the tests keeps a connection that is set again with the same address, as the real transport does.

--- a/packages/fleet/tests/control_host.h
+++ b/packages/fleet/tests/control_host.h
@@ -64,8 +64,10 @@
               bool aRefuseStoreCalls = false,
               size_t aMaxDirectReaders = 150,
               const std::string& aFailureDomain = "a",
-              FakePeerNetwork* aNetwork = nullptr)
+              FakePeerNetwork* aNetwork = nullptr,
+              std::vector<std::string> aSeeds = {})
   {
+    init_.seeds = std::move(aSeeds);
     if (aNetwork != nullptr) {
       init_.createPeerTransport = [aNetwork](PeerTransportInit aInit) {
         return Result<std::unique_ptr<PeerTransport>>(aNetwork->Create(std::move(aInit)));
--- a/packages/fleet/tests/fake_peer_network.h
+++ b/packages/fleet/tests/fake_peer_network.h
@@ -56,6 +56,10 @@
     void SetPeer(std::string_view aHost, std::string_view aAddress, uint16_t) override
     {
       const std::string address(aAddress);
+      const auto known = peers_.find(std::string(aHost));
+      if (known != peers_.end() && known->second.address == address) {
+        return;
+      }
       const bool isStuck = network_.IsLost(init_.address, address);
       peers_.insert_or_assign(std::string(aHost), Peer{ address, Now(), isStuck });
     }
--- a/packages/fleet/tests/slow_connection_test.cpp
+++ b/packages/fleet/tests/slow_connection_test.cpp
@@ -147,3 +147,19 @@
   CHECK(Eventually([&] { return fleet.Has(2); }));
   CHECK(Now() - changedAt < kActivationLimit);
 }
+
+// The question was sent as the connection to the seed was opened, and dropped.
+TEST_CASE("a host that starts and that the store turns away is answered by a seed at once")
+{
+  FakePeerNetwork network;
+  network.connectTime = Milliseconds(100);
+  FakeTables tables;
+  tables.Put(kConfigurationTable, "current", "1");
+  tables.Put(kUpstreamTable, "one", "ready");
+  const ControlHost seed(tables, "seed", 2, kPort, false, 150, "a", &network);
+  REQUIRE(Eventually([&] { return seed.Revision() == 1; }));
+  const TimePoint startedAt = Now();
+  const ControlHost host(tables, "host", 3, kPort, true, 150, "a", &network, { "127.0.0.2" });
+  CHECK(Eventually([&] { return host.Revision() == 1; }));
+  CHECK(Now() - startedAt < std::chrono::seconds(1));
+}
