Fleet: dropped messages are counted in one place, pending ones looked at every 20 ms

From reading again. Messages that were given up while they waited for a connection were in the log and not in boragegauge_fleet_peer_messages_dropped_total, which counted those of the transport only; it counts both now. Pending messages are looked at every 20 ms, as before, in place of 10 ms: while many hosts are down, each look asks the transport about each of them. The time limit of a connection is one constant.

--- a/packages/fleet/src/control.cpp
+++ b/packages/fleet/src/control.cpp
@@ -277,7 +277,7 @@
 
 ConfigurationMetrics FleetControl::ConfigurationState() const
 {
-  return { revision_, Now() - configurationFreshAt_, transport_->Stats().dropped };
+  return { revision_, Now() - configurationFreshAt_, totalDrops_ };
 }
 
 /// After a pause of the process, requests wait until the store or a peer has confirmed the state
--- a/packages/fleet/src/control_messages.cpp
+++ b/packages/fleet/src/control_messages.cpp
@@ -6,12 +6,9 @@
 
 namespace {
 
-/// A connection that is not ready within this time belongs to a host that is gone, or does not
-/// accept connections. Later messages to it are not kept.
-constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
 /// Requests to an allocator or to the owner of a quota are placed elsewhere after some 60 ms.
 constexpr Duration kMaxRequestWait = Milliseconds(20);
-constexpr Duration kPendingInterval = Milliseconds(10); ///< Between attempts to send.
+constexpr Duration kPendingInterval = Milliseconds(20); ///< Between attempts to send.
 
 /// How long a message may wait for a new connection.
 Duration MaxWait(const wire::Envelope& aMessage)
@@ -81,7 +78,7 @@
   const std::string host = aMessage.host;
   const DomainBytesKind kind = aMessage.kind;
   if (!pendingMessages_.Add(std::move(aMessage))) {
-    drops_.Record(host, kind);
+    RecordDrop(host, kind);
   }
   if (!pendingTimer_) {
     pendingTimer_ = loop_.RunAfter(kPendingInterval, [this] { SendPendingMessages(); });
@@ -91,10 +88,16 @@
 void FleetControl::SendNow(const PeerMessage& aMessage)
 {
   if (!transport_->Send(aMessage.host, aMessage.bytes)) {
-    drops_.Record(aMessage.host, aMessage.kind);
+    RecordDrop(aMessage.host, aMessage.kind);
   }
 }
 
+void FleetControl::RecordDrop(const std::string& aHost, DomainBytesKind aKind)
+{
+  drops_.Record(aHost, aKind);
+  ++totalDrops_;
+}
+
 void FleetControl::SendPendingMessages()
 {
   pendingTimer_.reset();
@@ -108,7 +111,7 @@
     SendNow(message);
   }
   for (const PeerMessage& message : pendingMessages_.TakeExpired(now)) {
-    drops_.Record(message.host, message.kind);
+    RecordDrop(message.host, message.kind);
   }
   if (!pendingMessages_.Empty()) {
     pendingTimer_ = loop_.RunAfter(kPendingInterval, [this] { SendPendingMessages(); });
--- a/packages/fleet/src/control_p.h
+++ b/packages/fleet/src/control_p.h
@@ -260,6 +260,7 @@
   void ConnectSeed(const std::string& aSeed, const std::string& aAddress);
   void SendOrKeep(PeerMessage aMessage);
   void SendNow(const PeerMessage& aMessage);
+  void RecordDrop(const std::string& aHost, DomainBytesKind aKind);
   /// Counts the bytes of a message if the host is in another failure domain.
   void RecordPeerBytes(std::string_view aHost, DomainBytesKind aKind, size_t aBytes) const;
   void SendPendingMessages();
@@ -306,7 +307,8 @@
   std::map<std::string, PeerConnection, std::less<>> connectedPeers_; ///< By host.
   PendingMessages pendingMessages_;
   std::unique_ptr<EventLoop::Timer> pendingTimer_;
-  DroppedMessages drops_; ///< Since the last log line about them.
+  DroppedMessages drops_;   ///< Since the last log line about them.
+  uint64_t totalDrops_ = 0; ///< Since the start.
 
   uint64_t revision_ = 0; ///< Of the active configuration; 0: none.
   /// The active configuration; a newer one while activationTimer_ is set.
--- a/packages/fleet/src/control_peers.cpp
+++ b/packages/fleet/src/control_peers.cpp
@@ -25,8 +25,6 @@
 /// Limits of the interval between requests for the members.
 constexpr Duration kMinMembersRequestInterval = std::chrono::seconds(1);
 constexpr Duration kMaxMembersRequestInterval = std::chrono::seconds(32);
-/// A view that has waited longer for a new connection is replaced by later ones.
-constexpr Duration kMaxViewWait = std::chrono::seconds(1);
 /// A confirmation that is fresher by less than this is no news: it came over a slower path.
 constexpr Duration kMinFreshnessGain = Milliseconds(50);
 /// A reader gives way to one of a lower order whose state is younger than this.
@@ -211,7 +209,7 @@
   const std::string bytes = envelope.SerializeAsString();
   for (const std::string& host : aHosts) {
     RecordPeerBytes(host, DomainBytesKind::State, bytes.size());
-    SendOrKeep({ host, DomainBytesKind::State, bytes, now, kMaxViewWait });
+    SendOrKeep({ host, DomainBytesKind::State, bytes, now, kMaxConnectTime });
   }
 }
 
--- a/packages/fleet/src/metrics.cpp
+++ b/packages/fleet/src/metrics.cpp
@@ -172,7 +172,7 @@
   prometheus::Counter& peerMessagesDropped =
     prometheus::BuildCounter()
       .Name("boragegauge_fleet_peer_messages_dropped_total")
-      .Help("Messages to hosts without a connection or with a full queue")
+      .Help("Messages to hosts that were dropped: no connection, or a full queue")
       .Register(registry)
       .Add({});
   prometheus::Histogram& controlDelay =
--- a/packages/fleet/src/pending_messages_p.h
+++ b/packages/fleet/src/pending_messages_p.h
@@ -10,6 +10,10 @@
 
 namespace bg::fleet::detail {
 
+/// A connection that is not ready within this time belongs to a host that is gone, or that accepts
+/// no connections. Later messages to it are not kept.
+constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
+
 /// A message to another host.
 struct PeerMessage
 {
