--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -256,6 +256,7 @@
         self.born = int(time.time() * 1000)
         self.runs = []  # (time, request id, tenant, target)
         self.arrivals = []  # (time, request id)
+        self.writers = set()
         self.body = lambda request: b"ok " + request.encode()
 
     async def start(self):
@@ -277,7 +278,21 @@
         }
         await self.store.put("servers", self.name, json.dumps(entry).encode())
 
+    async def drain(self):
+        """Reports that it drains; returns the time of the store's acknowledgement."""
+        self.state = "draining"
+        await self.report()
+        return self.record.now()
+
+    def exit(self):
+        """The end of its process: nothing listens any more, and its connections end."""
+        self.record.line(f"instance {self.name} exits")
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 start, headers = await read_head(reader)
@@ -287,6 +302,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def send(self, writer, status, headers, body):
@@ -311,6 +327,8 @@
         await self.slots.acquire()
         self.queued -= 1
         try:
+            if writer.is_closing():
+                return False
             if time.monotonic() >= deadline:
                 self.send(writer, 503, {"Boragegauge-Not-Executed": "1"}, b"")
                 return True
@@ -443,7 +461,10 @@
             "bandwidth_mbps": 1000.0,
         }
         self.store = Store(record)
-        self.nodes = [Node(self, n + 1, zone) for zone in zones for n in range(nodes_per_zone)]
+        counts = nodes_per_zone if isinstance(nodes_per_zone, list) else [nodes_per_zone] * len(zones)
+        self.nodes = [
+            Node(self, n + 1, zone) for zone, count in zip(zones, counts) for n in range(count)
+        ]
         addresses = [node.address for node in self.nodes]
         self.ports = {}
         for name in ("frontend", "readiness", "admin", "peer", "relay"):
